--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,7 @@
 	quietTimes   = 4.0               // so many of its usual latencies is suspect
 	overdueTimes = 4                 // an execution is overdue after so many times what it should take
 	failingShare = 0.05              // and counts as lost at a node that fails more than this share
+	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
 	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
 	coldShare    = 0.6               // part of the multiple of what a cold node can do that is used
@@ -794,7 +795,9 @@
 	default:
 		fail = 1
 	}
-	n.Failing += gapMemory * (fail - n.Failing)
+	// The longer since the node was last judged, the more a single outcome says: a gateway of many meets it seldom.
+	n.Failing += max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim)))) * (fail - n.Failing)
+	n.Judged = g.now
 	switch e.Outcome {
 	case Full:
 		g.suspect(n, "turns jobs away")
--- a/decide/types.go
+++ b/decide/types.go
@@ -200,6 +200,7 @@
 	Spread    float64
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
+	Judged    Time    // and when that was last seen
 	Suspect   bool
 	Heavy     bool // the modes last logged
 	Fails     bool
