--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,7 @@
 	quietTimes   = 4.0               // so many of its usual latencies is suspect
 	overdueTimes = 4                 // an execution is overdue after so many times what it should take
 	failingShare = 0.05              // and counts as lost at a node that fails more than this share
+	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
 	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
@@ -552,7 +553,7 @@
 		if g.now < n.TryAt {
 			return false
 		}
-	} else if n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
+	} else if g.now < n.FreeAt || n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
 	return g.bears(n, j.Units) && (!g.heavy(n) || g.reserved(j))
@@ -767,6 +768,11 @@
 func (g *Gateway) hear(n *Node, e *Execution, took Time) {
 	u := e.Job.Units
 	fail := 0.0
+	// The longer since the node was last judged, the more one outcome says: a gateway of many meets it seldom.
+	w := max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim))))
+	if e.Outcome != CalledOff && e.Outcome != Moot {
+		n.Judged = g.now
+	}
 	switch e.Outcome {
 	case Served:
 		if !n.Known { // until now it counted as the average of the others
@@ -779,10 +785,10 @@
 		if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
 			n.Answers = append(n.Answers, Spent{g.now, u})
 		}
-		n.Latency += gapMemory * (float64(took) - n.Latency)
-		n.Size += gapMemory * (u - n.Size)
-		n.Spread += gapMemory * ((u-n.Size)*(u-n.Size) - n.Spread)
-		n.Slope += gapMemory * ((u-n.Size)*(float64(took)-n.Latency) - n.Slope)
+		n.Latency += w * (float64(took) - n.Latency)
+		n.Size += w * (u - n.Size)
+		n.Spread += w * ((u-n.Size)*(u-n.Size) - n.Spread)
+		n.Slope += w * ((u-n.Size)*(float64(took)-n.Latency) - n.Slope)
 		if g.now <= e.Job.GoalBy {
 			n.Part = min(n.Part*boundMade, boundMost)
 		} else if e.Sent < e.Job.GoalBy {
@@ -795,9 +801,7 @@
 	default:
 		fail = 1
 	}
-	// The longer since the node was last judged, the more a single outcome says: a gateway of many meets it seldom.
-	n.Failing += max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim)))) * (fail - n.Failing)
-	n.Judged = g.now
+	n.Failing += w * (fail - n.Failing)
 	switch e.Outcome {
 	case Full:
 		g.suspect(n, "turns jobs away")
@@ -972,6 +976,9 @@
 	g.flow(e.Node, e.Job.Volume).Out--
 	e.Node.Execs--
 	e.Node.Out = max(e.Node.Out-e.Job.Units, 0)
+	if over := g.mean/g.bound(e.Node) - 1; over > 0 { // under one job, the bound holds in the mean over time
+		e.Node.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
+	}
 	e.Node.touched = true
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -200,6 +200,7 @@
 	Spread    float64
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
+	FreeAt    Time    // not sent to before, where the bound is under one job
 	Judged    Time    // and when that was last seen
 	Suspect   bool
 	Heavy     bool // the modes last logged
