--- a/decide/decide.go
+++ b/decide/decide.go
@@ -553,7 +553,7 @@
 		if g.now < n.TryAt {
 			return false
 		}
-	} else if g.now < n.FreeAt || n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
+	} else if n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
 	return g.bears(n, j.Units) && (!g.heavy(n) || g.reserved(j))
