--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,8 @@
 	overdueTimes = 4                 // an execution is overdue after so many times what it should take
 	failingShare = 0.05              // and counts as lost at a node that fails more than this share
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
+	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
+	partFirst    = 2.0               // mean jobs for which the even part counts in it
 	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
 	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
@@ -228,8 +230,7 @@
 			g.plans[plan] = p
 		}
 		v = &Volume{Plan: p}
-		most := p.Reserve + g.terms.number("units.largest")
-		v.Reserve = Store{Level: most, Rate: p.Reserve, Most: most, At: g.now}
+		v.Reserve, v.Elsewhere = Store{At: g.now, Level: p.Reserve}, Store{At: g.now, Level: p.Reserve}
 		v.Limit.At = g.began
 		g.volumes[id] = v
 	}
@@ -237,10 +238,30 @@
 		v.Hosts = hosts
 		v.Limit.Rate, v.Limit.Most = v.Plan.Limit/hosts, v.Plan.Burst/hosts
 		v.Limit.Level = min(v.Limit.Level, v.Limit.Most)
+		g.served(v, 0, 0)
 	}
 	return v
 }
 
+// served counts units of a volume served by this gateway and by others, and deals its reserve out between them:
+// this gateway's part is its part of the service, and no less than the even one.
+func (g *Gateway) served(v *Volume, own, others float64) {
+	fade := math.Exp(-float64(g.now-v.ServedAt) / float64(partMemory))
+	v.Own, v.Others, v.ServedAt = v.Own*fade+own, v.Others*fade+others, g.now
+	even := 1 / v.Hosts
+	part := even
+	if g.terms.flag("tells.others") {
+		first := partFirst * g.mean
+		part = max(even, (v.Own+first*even)/(v.Own+v.Others+first))
+	}
+	whole := v.Plan.Reserve + g.terms.number("units.largest")
+	for s, part := range map[*Store]float64{&v.Reserve: part, &v.Elsewhere: 1 - part} {
+		s.Fill(g.now)
+		s.Rate, s.Most = part*v.Plan.Reserve, part*whole
+		s.Level = min(s.Level, s.Most)
+	}
+}
+
 // move is the one place where a job changes state.
 func (g *Gateway) move(j *Job, s JobState) {
 	if j.State == Queued && s != Running && j.Credit != nil {
@@ -636,14 +657,17 @@
 
 // reserved tells whether a job lies inside its volume's reserve.
 func (g *Gateway) reserved(j *Job) bool {
-	return j.Volume.Plan.Reserve > 0 && j.Volume.Reserve.Fill(g.now) >= j.Units
+	r := &j.Volume.Reserve
+	return r.Rate > 0 && r.Fill(g.now) >= min(j.Units, r.Most)
 }
 
 // charge counts units served for a volume at a node, by this gateway or by others: first on its reserve,
 // which is its due and costs no virtual time, then on its virtual time.
-func (g *Gateway) charge(n *Node, f *Flow, units float64) {
-	r := &f.Volume.Reserve
-	inside := min(max(r.Fill(g.now), 0), units)
+func (g *Gateway) charge(n *Node, f *Flow, r *Store, units float64) {
+	inside := 0.0
+	if r.Fill(g.now) >= min(units, r.Most) {
+		inside = units
+	}
 	r.Level -= inside
 	units -= inside
 	weights, least := 0.0, math.Inf(1)
@@ -676,7 +700,7 @@
 	j.Execs = append(j.Execs, e)
 	j.Node = n
 	g.move(j, Running)
-	g.charge(n, f, j.Units)
+	g.charge(n, f, &j.Volume.Reserve, j.Units)
 	if n.Turn == f {
 		f.Budget -= j.Units
 	}
@@ -745,7 +769,10 @@
 	f.Answered = now
 	g.hear(n, e, took)
 	if others > 0 {
-		g.charge(n, f, others)
+		g.charge(n, f, &j.Volume.Elsewhere, others)
+	}
+	if o == Served {
+		g.served(j.Volume, j.Units, max(others, 0))
 	}
 	if j.Line != nil && (o == TimedOut || o == Reset || o == CalledOff) {
 		j.Line.RestUntil = max(j.Line.RestUntil, now+g.terms.span("key.rest"))
--- a/decide/types.go
+++ b/decide/types.go
@@ -98,10 +98,13 @@
 
 // Volume is what a customer reads and writes. Its dues count over all gateways and nodes.
 type Volume struct {
-	Plan    *Plan
-	Hosts   float64 // gateways that its jobs come through
-	Reserve Store   // what is due to it in full
-	Limit   Store   // this gateway's part of its limit
+	Plan        *Plan
+	Hosts       float64 // gateways that its jobs come through
+	Reserve     Store   // this gateway's part of what is due to it in full
+	Elsewhere   Store   // and the part of the others
+	Own, Others float64 // units served through this gateway and through others, fading
+	ServedAt    Time
+	Limit       Store // this gateway's part of its limit
 }
 
 // Store holds units: it fills at a rate up to a most, and may be overdrawn by who uses it.
