--- a/decide/decide.go
+++ b/decide/decide.go
@@ -565,7 +565,7 @@
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
 func (g *Gateway) heavy(n *Node) bool {
-	return n.Known && g.now-n.Heard < g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
+	return n.Known && g.now-n.Heard < 16*g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
 }
 
 // mayGo tells whether a job can go to the node that it is queued at.
