--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	boundCeiling = 32.0              // mean jobs; the bound never passes it
 	standIn      = 2.0               // rates of a plan that stand in for its reserve where no plan has one
 	lightAims    = 0.25              // a node that needs less of the aim for a mean job may have two out
-	heavyAims    = 0.5               // one that needs more is left to what is reserved
+	heavyAims    = 0.35              // one that needs more is left to what is reserved
 	rateMemory   = 4.0               // busy time over which a rate is learned, in aims
 	creditsEach  = 4                 // credits of a node for new objects
 	creditDrip   = 4.0               // a credit lost without a good answer comes back after so many aims
