--- a/decide/decide.go
+++ b/decide/decide.go
@@ -507,6 +507,19 @@
 	return sum / count
 }
 
+func (g *Gateway) meanBase() float64 {
+	sum, count := 0.0, 0.0
+	for _, o := range g.nodes {
+		if o.Known && o.Base > 0 {
+			sum, count = sum+o.Base, count+1
+		}
+	}
+	if count == 0 {
+		return math.Inf(1)
+	}
+	return sum / count
+}
+
 // bound is the most units out at a node: what it answers in its part of the aim, under the ceiling.
 func (g *Gateway) bound(n *Node) float64 {
 	return min(g.rate(n)*n.Part*float64(g.aim)/float64(Second), boundCeiling*g.mean)
@@ -565,7 +578,7 @@
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
 func (g *Gateway) heavy(n *Node) bool {
-	return n.Known && g.now-n.Heard < 16*g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
+	return n.Known && g.now-n.Heard < 32*g.aim && n.takes(g.mean)-Time(n.Base) > Time(heavyAims*float64(g.aim))
 }
 
 // mayGo tells whether a job can go to the node that it is queued at.
@@ -807,11 +820,18 @@
 			n.Known, n.Busy = true, float64(g.aim)/float64(Second)
 			n.Units = r * n.Busy
 			n.Latency, n.Size, n.Spread, n.Slope = float64(took), u, 0, 0
+			n.Base = min(float64(took)*g.mean/u, g.meanBase())
 		}
 		n.Units += u
 		if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
 			n.Answers = append(n.Answers, Spent{g.now, u})
 		}
+		at := float64(took) * g.mean / u
+		if n.Base == 0 || at < n.Base {
+			n.Base += max(w, 0.125) * (at - n.Base)
+		} else {
+			n.Base += 0.02 * (at - n.Base)
+		}
 		n.Latency += w * (float64(took) - n.Latency)
 		n.Size += w * (u - n.Size)
 		n.Spread += w * ((u-n.Size)*(u-n.Size) - n.Spread)
--- a/decide/types.go
+++ b/decide/types.go
@@ -204,6 +204,7 @@
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
 	FreeAt    Time    // not sent to before, where the bound is under one job
+	Base      float64 // time of a mean job at its best
 	Judged    Time    // and when that was last seen
 	Suspect   bool
 	Heavy     bool // the modes last logged
