--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	boundCeiling = 32.0              // mean jobs; the bound never passes it
 	standIn      = 2.0               // rates of a plan that stand in for its reserve where no plan has one
 	lightAims    = 0.25              // a node that needs less of the aim for a mean job may have two out
-	heavyAims    = 0.35              // one that needs more is left to what is reserved
+	heavyAims    = 0.5               // one that needs more is left to what is reserved
 	rateMemory   = 4.0               // busy time over which a rate is learned, in aims
 	creditsEach  = 4                 // credits of a node for new objects
 	creditDrip   = 4.0               // a credit lost without a good answer comes back after so many aims
@@ -39,12 +39,15 @@
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
-	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
-	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
-	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
-	coldShare    = 0.6               // part of the multiple of what a cold node can do that is used
-	roundsPerAim = 8                 // periodic rounds in one aim
-	listWait     = 1 * Second        // first wait after a failed list call; it doubles up to the most
+	spareAims    = 0.15
+	dueBelief    = 16
+	spareBelief  = 64
+	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
+	leaveMemory  = 1.0 / 64   // weight of the newest client in the average of those that leave
+	leavingShare = 0.05       // where more leave before their goal, jobs count by when they leave
+	coldShare    = 0.6        // part of the multiple of what a cold node can do that is used
+	roundsPerAim = 8          // periodic rounds in one aim
+	listWait     = 1 * Second // first wait after a failed list call; it doubles up to the most
 	listWaitMost = 16 * Second
 )
 
@@ -230,6 +233,7 @@
 			g.plans[plan] = p
 		}
 		v = &Volume{Plan: p}
+		v.Due = Store{At: g.now, Level: standIn * p.Rate}
 		v.Reserve, v.Elsewhere = Store{At: g.now, Level: p.Reserve}, Store{At: g.now, Level: p.Reserve}
 		v.Limit.At = g.began
 		g.volumes[id] = v
@@ -255,6 +259,10 @@
 		part = max(even, (v.Own+first*even)/(v.Own+v.Others+first))
 	}
 	whole := v.Plan.Reserve + g.terms.number("units.largest")
+	d := &v.Due
+	d.Fill(g.now)
+	d.Rate, d.Most = part*standIn*v.Plan.Rate, part*(standIn*v.Plan.Rate+g.terms.number("units.largest"))
+	d.Level = min(d.Level, d.Most)
 	for s, part := range map[*Store]float64{&v.Reserve: part, &v.Elsewhere: 1 - part} {
 		s.Fill(g.now)
 		s.Rate, s.Most = part*v.Plan.Reserve, part*whole
@@ -577,8 +585,12 @@
 // reserve. Where many gateways share a node, each has few to choose from, and one sends spare jobs while
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
-func (g *Gateway) heavy(n *Node) bool {
-	return n.Known && g.now-n.Heard < 32*g.aim && n.takes(g.mean)-Time(n.Base) > Time(heavyAims*float64(g.aim))
+func (g *Gateway) heavy(n *Node, j *Job) bool {
+	after, till := heavyAims, Time(dueBelief)*g.aim
+	if d := &j.Volume.Due; d.Fill(g.now) < min(j.Units, d.Most) {
+		after, till = spareAims, Time(spareBelief)*g.aim
+	}
+	return n.Known && g.now-n.Heard < till && n.takes(g.mean)-Time(n.Base) > Time(after*float64(g.aim))
 }
 
 // mayGo tells whether a job can go to the node that it is queued at.
@@ -590,7 +602,7 @@
 	} else if n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
-	return g.bears(n, j.Units) && (!g.heavy(n) || g.reserved(j))
+	return g.bears(n, j.Units) && (!g.heavy(n, j) || g.reserved(j))
 }
 
 // payable tells whether this gateway's part of the volume's limit holds a job's units.
@@ -713,6 +725,8 @@
 	j.Execs = append(j.Execs, e)
 	j.Node = n
 	g.move(j, Running)
+	j.Volume.Due.Fill(g.now)
+	j.Volume.Due.Level = max(j.Volume.Due.Level-j.Units, -j.Volume.Due.Most)
 	g.charge(n, f, &j.Volume.Reserve, j.Units)
 	if n.Turn == f {
 		f.Budget -= j.Units
--- a/decide/types.go
+++ b/decide/types.go
@@ -101,6 +101,7 @@
 	Plan        *Plan
 	Hosts       float64 // gateways that its jobs come through
 	Reserve     Store   // this gateway's part of what is due to it in full
+	Due         Store
 	Elsewhere   Store   // and the part of the others
 	Own, Others float64 // units served through this gateway and through others, fading
 	ServedAt    Time
