--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	boundCeiling = 32.0              // mean jobs; the bound never passes it
 	standIn      = 2.0               // rates of a plan that stand in for its reserve where no plan has one
 	lightAims    = 0.25              // a node that needs less of the aim for a mean job may have two out
-	heavyAims    = 0.5               // one that needs more is left to what is reserved
+	heavyAims    = 0.25              // one that needs more is left to what is reserved
 	rateMemory   = 4.0               // busy time over which a rate is learned, in aims
 	creditsEach  = 4                 // credits of a node for new objects
 	creditDrip   = 4.0               // a credit lost without a good answer comes back after so many aims
@@ -39,9 +39,10 @@
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
-	spareAims    = 0.15
-	dueBelief    = 16
-	spareBelief  = 64
+	fairCut      = 0.25
+	fairRise     = 1.05
+	fairLeast    = 1.0 / 32
+	fairMost     = 4.0
 	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64   // weight of the newest client in the average of those that leave
 	leavingShare = 0.05       // where more leave before their goal, jobs count by when they leave
@@ -70,6 +71,7 @@
 	further  []Time // when further executions were sent, within it
 	aim      Time   // the tightest goal time
 	mean     float64
+	fairRate float64
 	whole    bool // the list being told is whole
 	stale    bool // and may be old
 	epoch    int
@@ -87,6 +89,7 @@
 		lines: map[int64]*Line{}, byAddr: map[string]*Node{}, next: &Decision{},
 		last: &Decision{}, listWait: listWait}
 	reserves := false
+	rates, weights := 0.0, 0.0
 	for i := range terms.count("plans") {
 		name := func(s string) string { return item("plans", i, s) }
 		p := &Plan{Name: terms[name("name")], Weight: terms.number(name("weight")),
@@ -97,7 +100,9 @@
 		}
 		g.plans[p.Name] = p
 		reserves = reserves || p.Reserve > 0
+		rates, weights = rates+p.Rate, weights+p.Weight
 	}
+	g.fairRate = standIn * rates / max(weights, 1e-3)
 	for _, p := range g.plans { // where no plan reserves, a multiple of what it is sized for stands in
 		if !reserves {
 			p.Reserve = standIn * p.Rate
@@ -141,7 +146,7 @@
 func (g *Gateway) Listed(addr, zone string, shard int, born Time, standing Standing) {
 	n := g.byAddr[addr]
 	if n == nil {
-		n = &Node{Addr: addr, Born: born, Standing: Gone, Credits: creditsEach, Part: boundAims,
+		n = &Node{Addr: addr, Born: born, Standing: Gone, Credits: creditsEach, Part: boundAims, Fair: 1,
 			flowIndex: map[*Volume]*Flow{}}
 		g.byAddr[addr] = n
 		g.nodes = append(g.nodes, n)
@@ -233,7 +238,6 @@
 			g.plans[plan] = p
 		}
 		v = &Volume{Plan: p}
-		v.Due = Store{At: g.now, Level: standIn * p.Rate}
 		v.Reserve, v.Elsewhere = Store{At: g.now, Level: p.Reserve}, Store{At: g.now, Level: p.Reserve}
 		v.Limit.At = g.began
 		g.volumes[id] = v
@@ -259,10 +263,7 @@
 		part = max(even, (v.Own+first*even)/(v.Own+v.Others+first))
 	}
 	whole := v.Plan.Reserve + g.terms.number("units.largest")
-	d := &v.Due
-	d.Fill(g.now)
-	d.Rate, d.Most = part*standIn*v.Plan.Rate, part*(standIn*v.Plan.Rate+g.terms.number("units.largest"))
-	d.Level = min(d.Level, d.Most)
+	v.Part = part
 	for s, part := range map[*Store]float64{&v.Reserve: part, &v.Elsewhere: 1 - part} {
 		s.Fill(g.now)
 		s.Rate, s.Most = part*v.Plan.Reserve, part*whole
@@ -585,12 +586,17 @@
 // reserve. Where many gateways share a node, each has few to choose from, and one sends spare jobs while
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
-func (g *Gateway) heavy(n *Node, j *Job) bool {
-	after, till := heavyAims, Time(dueBelief)*g.aim
-	if d := &j.Volume.Due; d.Fill(g.now) < min(j.Units, d.Most) {
-		after, till = spareAims, Time(spareBelief)*g.aim
+func (g *Gateway) fair(n *Node, j *Job) bool {
+	f := g.flow(n, j.Volume)
+	d := &f.Due
+	d.Fill(g.now)
+	d.Rate = j.Volume.Part * j.Volume.Plan.Weight * n.Fair * g.fairRate
+	d.Most = d.Rate + j.Volume.Part*g.terms.number("units.largest")
+	if !f.began {
+		f.began, d.Level = true, d.Most
 	}
-	return n.Known && g.now-n.Heard < till && n.takes(g.mean)-Time(n.Base) > Time(after*float64(g.aim))
+	d.Level = min(d.Level, d.Most)
+	return d.Level >= min(j.Units, d.Most)
 }
 
 // mayGo tells whether a job can go to the node that it is queued at.
@@ -602,7 +608,7 @@
 	} else if n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
-	return g.bears(n, j.Units) && (!g.heavy(n, j) || g.reserved(j))
+	return g.bears(n, j.Units) && (g.reserved(j) || g.fair(n, j))
 }
 
 // payable tells whether this gateway's part of the volume's limit holds a job's units.
@@ -725,8 +731,10 @@
 	j.Execs = append(j.Execs, e)
 	j.Node = n
 	g.move(j, Running)
-	j.Volume.Due.Fill(g.now)
-	j.Volume.Due.Level = max(j.Volume.Due.Level-j.Units, -j.Volume.Due.Most)
+	if !g.reserved(j) {
+		g.fair(n, j)
+		f.Due.Level -= j.Units
+	}
 	g.charge(n, f, &j.Volume.Reserve, j.Units)
 	if n.Turn == f {
 		f.Budget -= j.Units
@@ -840,6 +848,11 @@
 		if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
 			n.Answers = append(n.Answers, Spent{g.now, u})
 		}
+		if wait := float64(took) - n.Base*max(u/g.mean, 1); wait > heavyAims*float64(g.aim) {
+			n.Fair = max(n.Fair*math.Pow(fairCut, w/gapMemory/4), fairLeast)
+		} else {
+			n.Fair = min(n.Fair*math.Pow(fairRise, w/gapMemory/4), fairMost)
+		}
 		at := float64(took) * g.mean / u
 		if n.Base == 0 || at < n.Base {
 			n.Base += max(w, 0.125) * (at - n.Base)
@@ -979,9 +992,6 @@
 				g.suspect(n, "answers nothing")
 			}
 		}
-		took := n.takes(g.mean)
-		g.mode(&n.Heavy, n.Known && took > Time(heavyAims*float64(g.aim)),
-			"%s is left to reserved jobs: %%t, a mean job takes %d ms", n.Addr, took/Millisecond)
 		g.mode(&n.Fails, n.Failing > failingShare, "%s fails some: %%t, %.0f%%%%", n.Addr, 100*n.Failing)
 		if n.Credits < creditsEach && g.now-n.CreditAt >= Time(creditDrip*float64(g.aim)) {
 			n.CreditAt = g.now
--- a/decide/types.go
+++ b/decide/types.go
@@ -101,7 +101,7 @@
 	Plan        *Plan
 	Hosts       float64 // gateways that its jobs come through
 	Reserve     Store   // this gateway's part of what is due to it in full
-	Due         Store
+	Part        float64
 	Elsewhere   Store   // and the part of the others
 	Own, Others float64 // units served through this gateway and through others, fading
 	ServedAt    Time
@@ -174,6 +174,8 @@
 	Gap            Time    // its average send gap
 	Sent, Answered Time    // the last of each
 	Out            int
+	Due            Store
+	began          bool
 }
 
 // Node is a storage node as this gateway sees it.
@@ -205,6 +207,7 @@
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
 	FreeAt    Time    // not sent to before, where the bound is under one job
+	Fair      float64
 	Base      float64 // time of a mean job at its best
 	Judged    Time    // and when that was last seen
 	Suspect   bool
