--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	boundCeiling = 32.0              // mean jobs; the bound never passes it
 	standIn      = 2.0               // rates of a plan that stand in for its reserve where no plan has one
 	lightAims    = 0.25              // a node that needs less of the aim for a mean job may have two out
-	heavyAims    = 0.25              // one that needs more is left to what is reserved
+	heavyAims    = 0.5               // one that needs more is left to what is reserved
 	rateMemory   = 4.0               // busy time over which a rate is learned, in aims
 	creditsEach  = 4                 // credits of a node for new objects
 	creditDrip   = 4.0               // a credit lost without a good answer comes back after so many aims
@@ -605,7 +605,7 @@
 		if g.now < n.TryAt {
 			return false
 		}
-	} else if n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
+	} else if g.now < n.FreeAt || n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
 	return g.bears(n, j.Units) && (g.reserved(j) || g.fair(n, j))
@@ -1047,7 +1047,7 @@
 	g.flow(e.Node, e.Job.Volume).Out--
 	e.Node.Execs--
 	e.Node.Out = max(e.Node.Out-e.Job.Units, 0)
-	if over := g.mean/g.bound(e.Node) - 1; over > 0 { // under one job, the bound holds in the mean over time
+	if over := float64(e.Node.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal
 		e.Node.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
 	}
 	e.Node.touched = true
