--- a/decide/decide.go
+++ b/decide/decide.go
@@ -545,7 +545,7 @@
 // learn lets a node's busy time go on to now.
 func (g *Gateway) learn(n *Node) {
 	if n.Execs > 0 && n.Known {
-		span := float64(g.now-n.BusyAt) / float64(Second)
+		span := float64(max(g.now-n.BusyAt-g.stall(), 0)) / float64(Second)
 		fade := math.Exp(-span / (rateMemory * float64(g.aim) / float64(Second)))
 		n.Units, n.Busy = n.Units*fade, n.Busy*fade+span
 	}
@@ -803,6 +803,9 @@
 	}
 	f.Answered = now
 	g.hear(n, e, took)
+	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 && g.stall() == 0 { // it cannot make the goal
+		n.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
+	}
 	if others > 0 {
 		g.charge(n, f, &j.Volume.Elsewhere, others)
 	}
@@ -845,29 +848,12 @@
 			n.Base = min(float64(took)*g.mean/u, g.meanBase())
 		}
 		n.Units += u
+		if g.stall() == 0 {
+			g.timed(n, e, took, w)
+		}
 		if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
 			n.Answers = append(n.Answers, Spent{g.now, u})
 		}
-		if wait := float64(took) - n.Base*max(u/g.mean, 1); wait > heavyAims*float64(g.aim) {
-			n.Fair = max(n.Fair*math.Pow(fairCut, w/gapMemory/4), fairLeast)
-		} else {
-			n.Fair = min(n.Fair*math.Pow(fairRise, w/gapMemory/4), fairMost)
-		}
-		at := float64(took) * g.mean / u
-		if n.Base == 0 || at < n.Base {
-			n.Base += max(w, 0.125) * (at - n.Base)
-		} else {
-			n.Base += 0.02 * (at - n.Base)
-		}
-		n.Latency += w * (float64(took) - n.Latency)
-		n.Size += w * (u - n.Size)
-		n.Spread += w * ((u-n.Size)*(u-n.Size) - n.Spread)
-		n.Slope += w * ((u-n.Size)*(float64(took)-n.Latency) - n.Slope)
-		if g.now <= e.Job.GoalBy {
-			n.Part = min(n.Part*boundMade, boundMost)
-		} else if e.Sent < e.Job.GoalBy {
-			n.Part = max(n.Part*boundMissed, boundLeast)
-		}
 	case Full:
 		n.Units *= 1 - gapMemory
 	case CalledOff, Moot:
@@ -894,6 +880,39 @@
 	}
 }
 
+// timed learns from how long an execution took.
+func (g *Gateway) timed(n *Node, e *Execution, took Time, w float64) {
+	u := e.Job.Units
+	if wait := float64(took) - n.Base*max(u/g.mean, 1); wait > heavyAims*float64(g.aim) {
+		n.Fair = max(n.Fair*math.Pow(fairCut, w/gapMemory/4), fairLeast)
+	} else {
+		n.Fair = min(n.Fair*math.Pow(fairRise, w/gapMemory/4), fairMost)
+	}
+	at := float64(took) * g.mean / u
+	if n.Base == 0 || at < n.Base {
+		n.Base += max(w, 0.125) * (at - n.Base)
+	} else {
+		n.Base += 0.02 * (at - n.Base)
+	}
+	n.Latency += w * (float64(took) - n.Latency)
+	n.Size += w * (u - n.Size)
+	n.Spread += w * ((u-n.Size)*(u-n.Size) - n.Spread)
+	n.Slope += w * ((u-n.Size)*(float64(took)-n.Latency) - n.Slope)
+	if g.now <= e.Job.GoalBy {
+		n.Part = min(n.Part*boundMade, boundMost)
+	} else if e.Sent < e.Job.GoalBy {
+		n.Part = max(n.Part*boundMissed, boundLeast)
+	}
+}
+
+// stall is how long this gateway itself stood still before the present moment: its periodic round is overdue.
+func (g *Gateway) stall() Time {
+	if late := g.now - g.roundAt; g.roundAt > 0 && late > g.aim/roundsPerAim {
+		return late
+	}
+	return 0
+}
+
 // suspect marks a node that gives no sign of life. Jobs for it are tried singly, apart from each other.
 func (g *Gateway) suspect(n *Node, why string) {
 	if !n.Suspect {
@@ -1047,9 +1066,6 @@
 	g.flow(e.Node, e.Job.Volume).Out--
 	e.Node.Execs--
 	e.Node.Out = max(e.Node.Out-e.Job.Units, 0)
-	if over := float64(e.Node.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal
-		e.Node.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
-	}
 	e.Node.touched = true
 }
 
