--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,7 @@
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
-	fairCut      = 0.25
+	fairCut      = 0.5
 	fairRise     = 1.05
 	fairLeast    = 1.0 / 32
 	fairMost     = 4.0
