Pass jobs by chance at a store that is too small for them

Cause: a gateway of many holds a part of a reserve or of a fair rate that is smaller than one job, and let one whole job of each volume and node pass; over all gateways that is many times the due. Now such a store passes a part of the jobs by chance and is emptied by each, which is right in the sum.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -596,7 +596,31 @@
 		f.began, d.Level = true, d.Most
 	}
 	d.Level = min(d.Level, d.Most)
-	return d.Level >= min(j.Units, d.Most)
+	return g.within(d, j, &j.Spare)
+}
+
+// within tells whether a store holds a job's units. One that is too small for it, as the part of a gateway of
+// many is, passes a part of such jobs by chance, and is emptied by each: right in the sum over all gateways.
+func (g *Gateway) within(s *Store, j *Job, drawn *Draw) bool {
+	level := s.Fill(g.now)
+	if s.Most >= j.Units || s.Rate <= 0 {
+		return s.Rate > 0 && level >= j.Units
+	}
+	if *drawn == Undrawn {
+		*drawn = Missed
+		if g.chance.part()*j.Units < level {
+			*drawn = Passed
+		}
+		s.Level = min(level, 0)
+	}
+	return *drawn == Passed
+}
+
+// take takes a job's units from a store that passed it.
+func (s *Store) take(units float64) {
+	if s.Most >= units {
+		s.Level -= units
+	}
 }
 
 // mayGo tells whether a job can go to the node that it is queued at.
@@ -687,20 +711,11 @@
 }
 
 // reserved tells whether a job lies inside its volume's reserve.
-func (g *Gateway) reserved(j *Job) bool {
-	r := &j.Volume.Reserve
-	return r.Rate > 0 && r.Fill(g.now) >= min(j.Units, r.Most)
-}
+func (g *Gateway) reserved(j *Job) bool { return g.within(&j.Volume.Reserve, j, &j.Reserved) }
 
 // charge counts units served for a volume at a node, by this gateway or by others: first on its reserve,
 // which is its due and costs no virtual time, then on its virtual time.
-func (g *Gateway) charge(n *Node, f *Flow, r *Store, units float64) {
-	inside := 0.0
-	if r.Fill(g.now) >= min(units, r.Most) {
-		inside = units
-	}
-	r.Level -= inside
-	units -= inside
+func (g *Gateway) charge(n *Node, f *Flow, units float64) {
 	weights, least := 0.0, math.Inf(1)
 	f.Start += units / f.Volume.Plan.Weight
 	for _, o := range n.Flows {
@@ -731,11 +746,14 @@
 	j.Execs = append(j.Execs, e)
 	j.Node = n
 	g.move(j, Running)
-	if !g.reserved(j) {
-		g.fair(n, j)
-		f.Due.Level -= j.Units
+	if g.reserved(j) {
+		j.Volume.Reserve.take(j.Units)
+	} else {
+		if g.fair(n, j) {
+			f.Due.take(j.Units)
+		}
+		g.charge(n, f, j.Units)
 	}
-	g.charge(n, f, &j.Volume.Reserve, j.Units)
 	if n.Turn == f {
 		f.Budget -= j.Units
 	}
@@ -807,7 +825,10 @@
 		n.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
 	}
 	if others > 0 {
-		g.charge(n, f, &j.Volume.Elsewhere, others)
+		s := &j.Volume.Elsewhere
+		inside := min(max(s.Fill(now), 0), others)
+		s.Level -= inside
+		g.charge(n, f, others-inside)
 	}
 	if o == Served {
 		g.served(j.Volume, j.Units, max(others, 0))
--- a/decide/types.go
+++ b/decide/types.go
@@ -108,6 +108,15 @@
 	Limit       Store // this gateway's part of its limit
 }
 
+// Draw is what became of a job at a store that is too small for it.
+type Draw uint8
+
+const (
+	Undrawn Draw = iota
+	Passed
+	Missed
+)
+
 // Store holds units: it fills at a rate up to a most, and may be overdrawn by who uses it.
 type Store struct {
 	Level, Rate, Most float64
@@ -125,26 +134,27 @@
 
 // Job is one thing asked by a client. It gets exactly one final answer.
 type Job struct {
-	ID      string
-	Volume  *Volume
-	Product *Product
-	Units   float64
-	Shard   int // the shard that holds its data; below 0 for a new object
-	Key     int64
-	Write   bool
-	Taken   Time
-	GoalBy  Time
-	StopBy  Time
-	State   JobState
-	Wait    Time // how long the client is asked to wait, when dismissed
-	Execs   []*Execution
-	Node    *Node // where it is queued
-	NotTill Time  // rests until then between executions
-	Credit  *Node // the node that lent it a credit for a new object
-	Paid    bool  // its units were taken from its volume's limit
-	Line    *Line // the jobs of its key, where the product keeps order
-	due     Time
-	place   int // in the due heap, counted from 1
+	ID              string
+	Volume          *Volume
+	Product         *Product
+	Units           float64
+	Shard           int // the shard that holds its data; below 0 for a new object
+	Key             int64
+	Write           bool
+	Taken           Time
+	GoalBy          Time
+	StopBy          Time
+	State           JobState
+	Wait            Time // how long the client is asked to wait, when dismissed
+	Execs           []*Execution
+	Node            *Node // where it is queued
+	NotTill         Time  // rests until then between executions
+	Credit          *Node // the node that lent it a credit for a new object
+	Paid            bool  // its units were taken from its volume's limit
+	Line            *Line // the jobs of its key, where the product keeps order
+	Reserved, Spare Draw
+	due             Time
+	place           int // in the due heap, counted from 1
 }
 
 // Execution is one sending of a job to a node.
