--- a/decide/decide.go
+++ b/decide/decide.go
@@ -102,7 +102,7 @@
 		reserves = reserves || p.Reserve > 0
 		rates, weights = rates+p.Rate, weights+p.Weight
 	}
-	g.fairRate = standIn * rates / max(weights, 1e-3)
+	g.fairRate = 0.5 * rates / max(weights, 1e-3)
 	for _, p := range g.plans { // where no plan reserves, a multiple of what it is sized for stands in
 		if !reserves {
 			p.Reserve = standIn * p.Rate
