--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,8 +39,8 @@
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
-	fairCut      = 0.5
-	fairRise     = 1.05
+	fairGain     = 3.0
+	fairWait     = 0.25
 	fairLeast    = 1.0 / 32
 	fairMost     = 4.0
 	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
@@ -102,7 +102,7 @@
 		reserves = reserves || p.Reserve > 0
 		rates, weights = rates+p.Rate, weights+p.Weight
 	}
-	g.fairRate = 0.5 * rates / max(weights, 1e-3)
+	g.fairRate = 1 * rates / max(weights, 1e-3)
 	for _, p := range g.plans { // where no plan reserves, a multiple of what it is sized for stands in
 		if !reserves {
 			p.Reserve = standIn * p.Rate
@@ -904,11 +904,8 @@
 // timed learns from how long an execution took.
 func (g *Gateway) timed(n *Node, e *Execution, took Time, w float64) {
 	u := e.Job.Units
-	if wait := float64(took) - n.Base*max(u/g.mean, 1); wait > heavyAims*float64(g.aim) {
-		n.Fair = max(n.Fair*math.Pow(fairCut, w/gapMemory/4), fairLeast)
-	} else {
-		n.Fair = min(n.Fair*math.Pow(fairRise, w/gapMemory/4), fairMost)
-	}
+	wait := (float64(took) - n.Base*max(u/g.mean, 1)) / float64(g.aim)
+	n.Fair = min(max(n.Fair*math.Exp(fairGain*w*(fairWait-min(max(wait, 0), 2))), fairLeast), fairMost)
 	at := float64(took) * g.mean / u
 	if n.Base == 0 || at < n.Base {
 		n.Base += max(w, 0.125) * (at - n.Base)
