--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,8 +39,8 @@
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
-	fairGain     = 3.0
-	fairWait     = 0.25
+	fairGain     = 6.0
+	fairWait     = 0.15
 	fairLeast    = 1.0 / 32
 	fairMost     = 4.0
 	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
