--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,6 @@
 	fairWait     = 0.15
 	fairLeast    = 1.0 / 32
 	fairMost     = 4.0
-	freshAims    = 4.0               // aims in which what a node has shown loses most of what it says
 	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64   // weight of the newest client in the average of those that leave
 	leavingShare = 0.05       // where more leave before their goal, jobs count by when they leave
@@ -455,10 +454,7 @@
 // home names the node that is to serve a job: the one that holds its data, or for a new object the one with
 // credit left that would be through with it first.
 func (g *Gateway) home(j *Job) (best *Node) {
-	least, usual := math.Inf(1), 0.0
-	if r := g.meanRate(); j.Shard < 0 && r > 0 {
-		usual = g.mean / r * float64(Second)
-	}
+	least := math.Inf(1)
 	for _, n := range g.nodes {
 		if n.Standing != Ready || !g.mayRun(j, n) {
 			continue
@@ -473,11 +469,9 @@
 			slices.ContainsFunc(j.Execs, func(e *Execution) bool { return e.Node == n && e.Outcome != Full }) {
 			continue
 		}
-		fresh := math.Exp(-float64(g.now-n.Judged) / (freshAims * float64(g.aim)))
-		wait := (n.Out+g.backlog(n)+j.Units)/g.rate(n)*float64(Second) + fresh*float64(n.takes(g.mean))+(1-fresh)*usual
-		wait *= (1 + g.chance.part()/8) / max(1-n.Failing, 0.05)
+		wait := (n.Out + g.backlog(n) + j.Units) / g.rate(n) / math.Sqrt(n.Fair) / max(1-n.Failing, 0.05) * (1 + g.chance.part()/8)
 		if g.cold(n) {
-			wait += 1e15 // what a cold node bears is for the jobs that no other can serve, unless all are cold
+			wait += 1e6 // what a cold node bears is for the jobs that no other can serve, unless all are cold
 		}
 		if wait < least {
 			best, least = n, wait
