--- a/decide/decide.go
+++ b/decide/decide.go
@@ -469,7 +469,7 @@
 			slices.ContainsFunc(j.Execs, func(e *Execution) bool { return e.Node == n && e.Outcome != Full }) {
 			continue
 		}
-		wait := (n.Out + g.backlog(n) + j.Units) / g.rate(n) / max(math.Pow(1-n.Failing, 4), 1e-3) * (1 + g.chance.part()/8)
+		wait := (n.Out + g.backlog(n) + j.Units) / g.rate(n) / max(1-n.Failing, 0.05) * (1 + g.chance.part()/8)
 		if g.cold(n) {
 			wait += 1e6 // what a cold node bears is for the jobs that no other can serve, unless all are cold
 		}
