--- a/decide/decide.go
+++ b/decide/decide.go
@@ -146,14 +146,15 @@
 func (g *Gateway) Listed(addr, zone string, shard int, born Time, standing Standing) {
 	n := g.byAddr[addr]
 	if n == nil {
-		n = &Node{Addr: addr, Born: born, Standing: Gone, Credits: creditsEach, Part: boundAims, Fair: 1,
+		n = &Node{Addr: addr, Born: born, Warm: Store{At: g.now}, Standing: Gone, Credits: creditsEach, Part: boundAims, Fair: 1,
 			flowIndex: map[*Volume]*Flow{}}
 		g.byAddr[addr] = n
 		g.nodes = append(g.nodes, n)
 	}
 	if born > n.Born { // it started anew: what was learned is void, what is out still gets its outcome
 		n.Born, n.Known, n.Suspect, n.Units, n.Busy, n.Latency, n.Failing = born, false, false, 0, 0, 0, 0
-		n.Credits, n.Part, n.Answers = creditsEach, boundAims, n.Answers[:0]
+		n.Credits, n.Part, n.Answers, n.Fair, n.FreeAt = creditsEach, boundAims, n.Answers[:0], 1, 0
+		n.Warm = Store{At: g.now}
 	}
 	n.Zone, n.Shard = zone, shard
 	n.seen = g.epoch
@@ -465,7 +466,7 @@
 			}
 			continue
 		}
-		if n.Credits <= 0 || n.Suspect || !g.bears(n, j.Units) ||
+		if n.Credits <= 0 || n.Suspect || g.now < n.FreeAt ||
 			slices.ContainsFunc(j.Execs, func(e *Execution) bool { return e.Node == n && e.Outcome != Full }) {
 			continue
 		}
@@ -562,17 +563,21 @@
 // that it knows, its even part; or more than it was answered there in as long a time, but under the stated
 // multiple: if each gateway does so, all stay under that multiple of what the node can do. Everything sent
 // counts, also what is turned away.
-func (g *Gateway) bears(n *Node, units float64) bool {
+func (g *Gateway) bears(n *Node, j *Job) bool {
 	if !g.cold(n) {
 		n.Sends, n.Answers = n.Sends[:0], n.Answers[:0]
 		return true
 	}
 	window, multiple := g.terms.span("cold.window"), coldShare*g.terms.number("cold.multiple")
+	if n.Sends.since(g.now-window)+j.Units <= multiple*n.Answers.since(g.now-window) {
+		return true
+	}
 	part := g.terms.number("cold.from")
 	part += (1 - part) * float64(g.now-n.Born) / float64(g.terms.span("cold.time"))
 	most := multiple * part * g.meanRate() * float64(window) / float64(Second)
 	most = max(most, g.terms.number("cold.units")) / max(g.terms.number("gateways"), 1)
-	return n.Sends.since(g.now-window)+units <= max(most, multiple*n.Answers.since(g.now-window))
+	n.Warm.Rate, n.Warm.Most = most/2/float64(window)*float64(Second), most/2
+	return g.within(&n.Warm, j, &j.Cold)
 }
 
 // light tells whether a node needs little of the aim for a mean job. A second execution may then pass the
@@ -632,7 +637,7 @@
 	} else if g.now < n.FreeAt || n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
-	return g.bears(n, j.Units) && (g.reserved(j) || g.fair(n, j))
+	return (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
 }
 
 // payable tells whether this gateway's part of the volume's limit holds a job's units.
@@ -769,6 +774,10 @@
 	n.Execs++
 	n.Out += j.Units
 	if g.cold(n) {
+		if n.Sends.since(g.now-g.terms.span("cold.window"))+j.Units > coldShare*g.terms.number("cold.multiple")*n.Answers.since(g.now-g.terms.span("cold.window")) {
+			n.Warm.take(j.Units)
+		}
+		j.Cold = Undrawn
 		n.Sends = append(n.Sends, Spent{g.now, j.Units})
 	}
 	if n.Suspect {
--- a/decide/types.go
+++ b/decide/types.go
@@ -134,27 +134,27 @@
 
 // Job is one thing asked by a client. It gets exactly one final answer.
 type Job struct {
-	ID              string
-	Volume          *Volume
-	Product         *Product
-	Units           float64
-	Shard           int // the shard that holds its data; below 0 for a new object
-	Key             int64
-	Write           bool
-	Taken           Time
-	GoalBy          Time
-	StopBy          Time
-	State           JobState
-	Wait            Time // how long the client is asked to wait, when dismissed
-	Execs           []*Execution
-	Node            *Node // where it is queued
-	NotTill         Time  // rests until then between executions
-	Credit          *Node // the node that lent it a credit for a new object
-	Paid            bool  // its units were taken from its volume's limit
-	Line            *Line // the jobs of its key, where the product keeps order
-	Reserved, Spare Draw
-	due             Time
-	place           int // in the due heap, counted from 1
+	ID                    string
+	Volume                *Volume
+	Product               *Product
+	Units                 float64
+	Shard                 int // the shard that holds its data; below 0 for a new object
+	Key                   int64
+	Write                 bool
+	Taken                 Time
+	GoalBy                Time
+	StopBy                Time
+	State                 JobState
+	Wait                  Time // how long the client is asked to wait, when dismissed
+	Execs                 []*Execution
+	Node                  *Node // where it is queued
+	NotTill               Time  // rests until then between executions
+	Credit                *Node // the node that lent it a credit for a new object
+	Paid                  bool  // its units were taken from its volume's limit
+	Line                  *Line // the jobs of its key, where the product keeps order
+	Reserved, Spare, Cold Draw
+	due                   Time
+	place                 int // in the due heap, counted from 1
 }
 
 // Execution is one sending of a job to a node.
@@ -217,6 +217,7 @@
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
 	FreeAt    Time    // not sent to before, where the bound is under one job
+	Warm      Store
 	Fair      float64
 	Base      float64 // time of a mean job at its best
 	Judged    Time    // and when that was last seen
