--- a/decide/decide.go
+++ b/decide/decide.go
@@ -466,7 +466,7 @@
 			}
 			continue
 		}
-		if n.Credits <= 0 || n.Suspect || g.now < n.FreeAt ||
+		if n.Credits <= 0 || n.Suspect ||
 			slices.ContainsFunc(j.Execs, func(e *Execution) bool { return e.Node == n && e.Outcome != Full }) {
 			continue
 		}
