--- a/decide/decide.go
+++ b/decide/decide.go
@@ -592,6 +592,9 @@
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
 func (g *Gateway) fair(n *Node, j *Job) bool {
+	if n.Fair >= 1 {
+		return true
+	}
 	f := g.flow(n, j.Volume)
 	d := &f.Due
 	d.Fill(g.now)
@@ -754,9 +757,7 @@
 	if g.reserved(j) {
 		j.Volume.Reserve.take(j.Units)
 	} else {
-		if g.fair(n, j) {
-			f.Due.take(j.Units)
-		}
+		f.Due.take(j.Units)
 		g.charge(n, f, j.Units)
 	}
 	if n.Turn == f {
