--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,7 +40,7 @@
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
 	fairGain     = 3.0
-	fairWait     = 0.15
+	fairWait     = 0.25
 	fairLeast    = 1.0 / 32
 	fairMost     = 4.0
 	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
