--- a/decide/decide.go
+++ b/decide/decide.go
@@ -91,13 +91,7 @@
 	reserves := false
 	rates, weights := 0.0, 0.0
 	for i := range terms.count("plans") {
-		name := func(s string) string { return item("plans", i, s) }
-		p := &Plan{Name: terms[name("name")], Weight: terms.number(name("weight")),
-			Rate: terms.number(name("rate")), Reserve: terms.number(name("reserve")),
-			Limit: terms.number(name("limit")), Burst: terms.number(name("burst"))}
-		if p.Weight <= 0 {
-			p.Weight = 1
-		}
+		p := terms.plan(i)
 		g.plans[p.Name] = p
 		reserves = reserves || p.Reserve > 0
 		rates, weights = rates+p.Rate, weights+p.Weight
@@ -109,22 +103,7 @@
 		}
 	}
 	for i := range terms.count("products") {
-		name := func(s string) string { return item("products", i, s) }
-		p := &Product{Name: terms[name("name")], Goal: terms.span(name("goal")),
-			Patience: terms.span(name("patience")), Window: terms.span(name("window")),
-			InTurn: terms.flag(name("in_turn"))}
-		switch terms[name("kind")] {
-		case "referenced":
-			p.Kind = Referenced
-		case "single-use":
-			p.Kind = SingleUse
-		}
-		switch terms[name("group")] {
-		case "zone":
-			p.Group = SameZone
-		case "shard":
-			p.Group = SameShard
-		}
+		p := terms.product(i)
 		if p.Goal > 0 && (g.aim == 0 || p.Goal < g.aim) {
 			g.aim = p.Goal
 		}
@@ -298,16 +277,6 @@
 	}
 }
 
-// out counts the executions without an outcome.
-func (j *Job) out() (n int) {
-	for _, e := range j.Execs {
-		if e.Outcome == Out {
-			n++
-		}
-	}
-	return n
-}
-
 // hold puts a job among those that wait for a node, a credit, their key or a rest.
 func (g *Gateway) hold(j *Job, rest Time) {
 	g.move(j, Held)
@@ -349,19 +318,12 @@
 		}
 	}
 	if j.State == Queued {
-		g.unqueue(j)
+		g.flow(j.Node, j.Volume).drop(j)
 	}
 	g.move(j, s)
 	g.next.Ended = append(g.next.Ended, j)
 }
 
-func (g *Gateway) unqueue(j *Job) {
-	f := g.flow(j.Node, j.Volume)
-	if i := slices.Index(f.Queue, j); i >= 0 {
-		f.Queue = slices.Delete(f.Queue, i, i+1)
-	}
-}
-
 // mayDismiss: a dismissal promises that trying again is harmless.
 func (g *Gateway) mayDismiss(j *Job) bool {
 	return j.Product.Kind == Replayable || j.Product.Kind == Referenced && j.Product.Group == AllNodes ||
@@ -624,13 +586,6 @@
 	return *drawn == Passed
 }
 
-// take takes a job's units from a store that passed it.
-func (s *Store) take(units float64) {
-	if s.Most >= units {
-		s.Level -= units
-	}
-}
-
 // mayGo tells whether a job can go to the node that it is queued at.
 func (g *Gateway) mayGo(n *Node, j *Job) bool {
 	if n.Suspect {
@@ -889,6 +844,12 @@
 		n.Units *= 1 - gapMemory
 	case CalledOff, Moot:
 		return
+	case TimedOut: // where nothing sent after it was answered, it waited behind others and was not lost
+		if n.HeardOf > e.Sent {
+			fail = 1
+		} else if g.stall() == 0 && n.Known {
+			g.timed(n, e, took, w)
+		}
 	default:
 		fail = 1
 	}
@@ -972,7 +933,7 @@
 		return
 	}
 	if j.State == Queued {
-		g.unqueue(j)
+		g.flow(j.Node, j.Volume).drop(j)
 	}
 	if p := j.Product; now < j.GoalBy {
 		g.leaving(p, 1)
--- a/decide/start.go
+++ b/decide/start.go
@@ -23,3 +23,24 @@
 
 // item names a value of a list's item.
 func item(list string, n int, name string) string { return list + "." + strconv.Itoa(n) + "." + name }
+
+// plan reads a plan; a weight that is absent counts as one.
+func (t Terms) plan(i int) *Plan {
+	number := func(name string) float64 { return t.number(item("plans", i, name)) }
+	p := &Plan{Name: t[item("plans", i, "name")], Weight: number("weight"), Rate: number("rate"),
+		Reserve: number("reserve"), Limit: number("limit"), Burst: number("burst")}
+	if p.Weight <= 0 {
+		p.Weight = 1
+	}
+	return p
+}
+
+// product reads a product.
+func (t Terms) product(i int) *Product {
+	text := func(name string) string { return t[item("products", i, name)] }
+	span := func(name string) Time { return t.span(item("products", i, name)) }
+	return &Product{Name: text("name"), Goal: span("goal"), Patience: span("patience"), Window: span("window"),
+		InTurn: t.flag(item("products", i, "in_turn")),
+		Kind:   map[string]Kind{"referenced": Referenced, "single-use": SingleUse}[text("kind")],
+		Group:  map[string]Group{"zone": SameZone, "shard": SameShard}[text("group")]}
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -1,5 +1,7 @@
 package decide
 
+import "slices"
+
 // Time is a point on the gateway's clock, or a span of it, in whole nanoseconds.
 type Time = int64
 
@@ -132,6 +134,13 @@
 	return s.Level
 }
 
+// take takes units that fit into the store.
+func (s *Store) take(units float64) {
+	if s.Most >= units {
+		s.Level -= units
+	}
+}
+
 // Job is one thing asked by a client. It gets exactly one final answer.
 type Job struct {
 	ID                    string
@@ -157,6 +166,16 @@
 	place                 int // in the due heap, counted from 1
 }
 
+// out counts the executions without an outcome.
+func (j *Job) out() (n int) {
+	for _, e := range j.Execs {
+		if e.Outcome == Out {
+			n++
+		}
+	}
+	return n
+}
+
 // Execution is one sending of a job to a node.
 type Execution struct {
 	Job       *Job
@@ -188,6 +207,13 @@
 	began          bool
 }
 
+// drop takes a job out of the queue.
+func (f *Flow) drop(j *Job) {
+	if i := slices.Index(f.Queue, j); i >= 0 {
+		f.Queue = slices.Delete(f.Queue, i, i+1)
+	}
+}
+
 // Node is a storage node as this gateway sees it.
 type Node struct {
 	Addr     string
