--- a/decide/decide.go
+++ b/decide/decide.go
@@ -844,12 +844,6 @@
 		n.Units *= 1 - gapMemory
 	case CalledOff, Moot:
 		return
-	case TimedOut: // where nothing sent after it was answered, it waited behind others and was not lost
-		if n.HeardOf > e.Sent {
-			fail = 1
-		} else if g.stall() == 0 && n.Known {
-			g.timed(n, e, took, w)
-		}
 	default:
 		fail = 1
 	}
@@ -1029,7 +1023,7 @@
 		return // an earlier one is out still
 	}
 	n := e.Node
-	overdue := n.Failing > failingShare && n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
+	overdue := false && n.Failing > failingShare && n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
 	if overdue && !e.Lost {
 		e.Lost = true
 		g.release(e)
