--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1023,7 +1023,7 @@
 		return // an earlier one is out still
 	}
 	n := e.Node
-	overdue := false && n.Failing > failingShare && n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
+	overdue := n.Failing > failingShare && n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
 	if overdue && !e.Lost {
 		e.Lost = true
 		g.release(e)
