--- a/decide/decide.go
+++ b/decide/decide.go
@@ -554,6 +554,9 @@
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
 func (g *Gateway) fair(n *Node, j *Job) bool {
+	if g.heavy(n) {
+		return false
+	}
 	if n.Fair >= 1 {
 		return true
 	}
@@ -586,6 +589,10 @@
 	return *drawn == Passed
 }
 
+func (g *Gateway) heavy(n *Node) bool {
+	return n.Known && g.now-n.Heard < g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
+}
+
 // mayGo tells whether a job can go to the node that it is queued at.
 func (g *Gateway) mayGo(n *Node, j *Job) bool {
 	if n.Suspect {
