--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,6 +39,7 @@
 	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
+	baseRise     = 0.02              // weight of an answer slower than a node's best in that best
 	fairGain     = 3.0
 	fairWait     = 0.25
 	fairLeast    = 1.0 / 32
@@ -96,7 +97,7 @@
 		reserves = reserves || p.Reserve > 0
 		rates, weights = rates+p.Rate, weights+p.Weight
 	}
-	g.fairRate = 1 * rates / max(weights, 1e-3)
+	g.fairRate = rates / max(weights, 1e-3)
 	for _, p := range g.plans { // where no plan reserves, a multiple of what it is sized for stands in
 		if !reserves {
 			p.Reserve = standIn * p.Rate
@@ -218,7 +219,7 @@
 			g.plans[plan] = p
 		}
 		v = &Volume{Plan: p}
-		v.Reserve, v.Elsewhere = Store{At: g.now, Level: p.Reserve}, Store{At: g.now, Level: p.Reserve}
+		v.Reserve = Store{At: g.now, Level: p.Reserve + g.terms.number("units.largest")}
 		v.Limit.At = g.began
 		g.volumes[id] = v
 	}
@@ -231,24 +232,17 @@
 	return v
 }
 
-// served counts units of a volume served by this gateway and by others, and deals its reserve out between them:
-// this gateway's part is its part of the service, and no less than the even one.
+// served counts units of a volume served by this gateway and by others, and sets this gateway's part of what is
+// due to the volume: its part of the service, and no less than the even one. It keeps many gateways from each
+// giving a volume its whole due, also when its busiest gateway changes; it could hurt while reports are late.
 func (g *Gateway) served(v *Volume, own, others float64) {
 	fade := math.Exp(-float64(g.now-v.ServedAt) / float64(partMemory))
 	v.Own, v.Others, v.ServedAt = v.Own*fade+own, v.Others*fade+others, g.now
-	even := 1 / v.Hosts
-	part := even
-	if g.terms.flag("tells.others") {
-		first := partFirst * g.mean
-		part = max(even, (v.Own+first*even)/(v.Own+v.Others+first))
-	}
-	whole := v.Plan.Reserve + g.terms.number("units.largest")
-	v.Part = part
-	for s, part := range map[*Store]float64{&v.Reserve: part, &v.Elsewhere: 1 - part} {
-		s.Fill(g.now)
-		s.Rate, s.Most = part*v.Plan.Reserve, part*whole
-		s.Level = min(s.Level, s.Most)
+	v.Part = 1 / v.Hosts
+	if first := partFirst * g.mean; g.terms.flag("tells.others") {
+		v.Part = max(v.Part, (v.Own+first*v.Part)/(v.Own+v.Others+first))
 	}
+	v.Reserve.resize(g.now, v.Part*v.Plan.Reserve, v.Part*(v.Plan.Reserve+g.terms.number("units.largest")))
 }
 
 // move is the one place where a job changes state.
@@ -368,7 +362,7 @@
 func (g *Gateway) flow(n *Node, v *Volume) *Flow {
 	f := n.flowIndex[v]
 	if f == nil {
-		f = &Flow{Volume: v, Start: n.Virtual, Budget: g.budget()}
+		f = &Flow{Volume: v, Start: n.Virtual, Budget: g.budget(), Due: Store{Level: math.Inf(1), Most: math.Inf(1)}}
 		n.flowIndex[v] = f
 		n.Flows = append(n.Flows, f)
 	}
@@ -479,19 +473,6 @@
 	return sum / count
 }
 
-func (g *Gateway) meanBase() float64 {
-	sum, count := 0.0, 0.0
-	for _, o := range g.nodes {
-		if o.Known && o.Base > 0 {
-			sum, count = sum+o.Base, count+1
-		}
-	}
-	if count == 0 {
-		return math.Inf(1)
-	}
-	return sum / count
-}
-
 // bound is the most units out at a node: what it answers in its part of the aim, under the ceiling.
 func (g *Gateway) bound(n *Node) float64 {
 	return min(g.rate(n)*n.Part*float64(g.aim)/float64(Second), boundCeiling*g.mean)
@@ -531,14 +512,14 @@
 		return true
 	}
 	window, multiple := g.terms.span("cold.window"), coldShare*g.terms.number("cold.multiple")
-	if n.Sends.since(g.now-window)+j.Units <= multiple*n.Answers.since(g.now-window) {
+	if j.Answered = n.Sends.since(g.now-window)+j.Units <= multiple*n.Answers.since(g.now-window); j.Answered {
 		return true
 	}
 	part := g.terms.number("cold.from")
 	part += (1 - part) * float64(g.now-n.Born) / float64(g.terms.span("cold.time"))
 	most := multiple * part * g.meanRate() * float64(window) / float64(Second)
 	most = max(most, g.terms.number("cold.units")) / max(g.terms.number("gateways"), 1)
-	n.Warm.Rate, n.Warm.Most = most/2/float64(window)*float64(Second), most/2
+	n.Warm.resize(g.now, most/2/float64(window)*float64(Second), most/2)
 	return g.within(&n.Warm, j, &j.Cold)
 }
 
@@ -554,22 +535,13 @@
 // another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
 // whether it is still so. It would hurt where reserves are far from used.
 func (g *Gateway) fair(n *Node, j *Job) bool {
-	if g.heavy(n) {
-		return false
-	}
-	if n.Fair >= 1 {
+	if n.Fair >= 1 && !g.heavy(n) {
 		return true
 	}
-	f := g.flow(n, j.Volume)
-	d := &f.Due
-	d.Fill(g.now)
-	d.Rate = j.Volume.Part * j.Volume.Plan.Weight * n.Fair * g.fairRate
-	d.Most = d.Rate + j.Volume.Part*g.terms.number("units.largest")
-	if !f.began {
-		f.began, d.Level = true, d.Most
-	}
-	d.Level = min(d.Level, d.Most)
-	return g.within(d, j, &j.Spare)
+	f, v := g.flow(n, j.Volume), j.Volume
+	rate := v.Part * v.Plan.Weight * n.Fair * g.fairRate
+	f.Due.resize(g.now, rate, rate+v.Part*g.terms.number("units.largest"))
+	return !g.heavy(n) && g.within(&f.Due, j, &j.Spare)
 }
 
 // within tells whether a store holds a job's units. One that is too small for it, as the part of a gateway of
@@ -737,7 +709,7 @@
 	n.Execs++
 	n.Out += j.Units
 	if g.cold(n) {
-		if n.Sends.since(g.now-g.terms.span("cold.window"))+j.Units > coldShare*g.terms.number("cold.multiple")*n.Answers.since(g.now-g.terms.span("cold.window")) {
+		if !j.Answered {
 			n.Warm.take(j.Units)
 		}
 		j.Cold = Undrawn
@@ -797,10 +769,7 @@
 		n.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
 	}
 	if others > 0 {
-		s := &j.Volume.Elsewhere
-		inside := min(max(s.Fill(now), 0), others)
-		s.Level -= inside
-		g.charge(n, f, others-inside)
+		g.charge(n, f, others)
 	}
 	if o == Served {
 		g.served(j.Volume, j.Units, max(others, 0))
@@ -838,7 +807,7 @@
 			n.Known, n.Busy = true, float64(g.aim)/float64(Second)
 			n.Units = r * n.Busy
 			n.Latency, n.Size, n.Spread, n.Slope = float64(took), u, 0, 0
-			n.Base = min(float64(took)*g.mean/u, g.meanBase())
+			n.Base = float64(took) * g.mean / u
 		}
 		n.Units += u
 		if g.stall() == 0 {
@@ -878,11 +847,10 @@
 	u := e.Job.Units
 	wait := (float64(took) - n.Base*max(u/g.mean, 1)) / float64(g.aim)
 	n.Fair = min(max(n.Fair*math.Exp(fairGain*w*(fairWait-min(max(wait, 0), 2))), fairLeast), fairMost)
-	at := float64(took) * g.mean / u
-	if n.Base == 0 || at < n.Base {
-		n.Base += max(w, 0.125) * (at - n.Base)
+	if at := float64(took) * g.mean / u; at < n.Base {
+		n.Base += w * (at - n.Base)
 	} else {
-		n.Base += 0.02 * (at - n.Base)
+		n.Base += baseRise * (at - n.Base)
 	}
 	n.Latency += w * (float64(took) - n.Latency)
 	n.Size += w * (u - n.Size)
--- a/decide/types.go
+++ b/decide/types.go
@@ -104,7 +104,6 @@
 	Hosts       float64 // gateways that its jobs come through
 	Reserve     Store   // this gateway's part of what is due to it in full
 	Part        float64
-	Elsewhere   Store   // and the part of the others
 	Own, Others float64 // units served through this gateway and through others, fading
 	ServedAt    Time
 	Limit       Store // this gateway's part of its limit
@@ -134,6 +133,12 @@
 	return s.Level
 }
 
+// resize changes the rate and the most, and keeps what fits of the level.
+func (s *Store) resize(now Time, rate, most float64) {
+	s.Level = min(s.Fill(now), most)
+	s.Rate, s.Most = rate, most
+}
+
 // take takes units that fit into the store.
 func (s *Store) take(units float64) {
 	if s.Most >= units {
@@ -162,6 +167,7 @@
 	Paid                  bool  // its units were taken from its volume's limit
 	Line                  *Line // the jobs of its key, where the product keeps order
 	Reserved, Spare, Cold Draw
+	Answered              bool
 	due                   Time
 	place                 int // in the due heap, counted from 1
 }
@@ -204,7 +210,6 @@
 	Sent, Answered Time    // the last of each
 	Out            int
 	Due            Store
-	began          bool
 }
 
 // drop takes a job out of the queue.
