--- a/decide/decide.go
+++ b/decide/decide.go
@@ -460,17 +460,17 @@
 }
 
 // meanRate is the average rate of the nodes heard from.
-func (g *Gateway) meanRate() float64 {
+func (g *Gateway) meanRate() float64 { return g.over(func(n *Node) float64 { return n.Units / n.Busy }) }
+
+// over averages a figure over the nodes heard from.
+func (g *Gateway) over(figure func(*Node) float64) float64 {
 	sum, count := 0.0, 0.0
 	for _, o := range g.nodes {
 		if o.Known && o.Standing == Ready && !g.cold(o) {
-			sum, count = sum+o.Units/o.Busy, count+1
+			sum, count = sum+figure(o), count+1
 		}
 	}
-	if count == 0 {
-		return 0
-	}
-	return sum / count
+	return sum / max(count, 1)
 }
 
 // bound is the most units out at a node: what it answers in its part of the aim, under the ceiling.
@@ -807,7 +807,8 @@
 			n.Known, n.Busy = true, float64(g.aim)/float64(Second)
 			n.Units = r * n.Busy
 			n.Latency, n.Size, n.Spread, n.Slope = float64(took), u, 0, 0
-			n.Base = float64(took) * g.mean / u
+			n.Base = float64(took) * g.mean / u // or less, if others do better at their best
+			n.Base = min(n.Base, g.over(func(n *Node) float64 { return n.Base }))
 		}
 		n.Units += u
 		if g.stall() == 0 {
