--- a/decide/decide.go
+++ b/decide/decide.go
@@ -460,7 +460,9 @@
 }
 
 // meanRate is the average rate of the nodes heard from.
-func (g *Gateway) meanRate() float64 { return g.over(func(n *Node) float64 { return n.Units / n.Busy }) }
+func (g *Gateway) meanRate() float64 {
+	return g.over(func(n *Node) float64 { return n.Units / n.Busy })
+}
 
 // over averages a figure over the nodes heard from.
 func (g *Gateway) over(figure func(*Node) float64) float64 {
