--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,8 +21,6 @@
 	boundAims    = 0.5               // the bound is what a node answers in this part of the aim, at first
 	boundLeast   = 0.15              // the narrowest part
 	boundMost    = 1.0               // the widest part
-	boundMissed  = 0.6               // an answer past its goal narrows the part so
-	boundMade    = 1.005             // and one within it widens it so
 	boundFirst   = 4.0               // mean jobs out at a node while nothing is known of any
 	boundCeiling = 32.0              // mean jobs; the bound never passes it
 	standIn      = 2.0               // rates of a plan that stand in for its reserve where no plan has one
@@ -36,7 +34,7 @@
 	quietTimes   = 4.0               // so many of its usual latencies is suspect
 	overdueTimes = 4                 // an execution is overdue after so many times what it should take
 	failingShare = 0.05              // and counts as lost at a node that fails more than this share
-	pauseMost    = 32.0              // the longest pause that a bound under one job asks for, in aims
+	restMost     = 32.0              // the longest rest of a node that needs over the aim, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
 	baseRise     = 0.02              // weight of an answer slower than a node's best in that best
@@ -126,14 +124,14 @@
 func (g *Gateway) Listed(addr, zone string, shard int, born Time, standing Standing) {
 	n := g.byAddr[addr]
 	if n == nil {
-		n = &Node{Addr: addr, Born: born, Warm: Store{At: g.now}, Standing: Gone, Credits: creditsEach, Part: boundAims, Fair: 1,
+		n = &Node{Addr: addr, Born: born, Warm: Store{At: g.now}, Standing: Gone, Credits: creditsEach, Fair: 1,
 			flowIndex: map[*Volume]*Flow{}}
 		g.byAddr[addr] = n
 		g.nodes = append(g.nodes, n)
 	}
 	if born > n.Born { // it started anew: what was learned is void, what is out still gets its outcome
 		n.Born, n.Known, n.Suspect, n.Units, n.Busy, n.Latency, n.Failing = born, false, false, 0, 0, 0, 0
-		n.Credits, n.Part, n.Answers, n.Fair, n.FreeAt = creditsEach, boundAims, n.Answers[:0], 1, 0
+		n.Credits, n.Answers, n.Fair, n.TryAt = creditsEach, n.Answers[:0], 1, 0
 		n.Warm = Store{At: g.now}
 	}
 	n.Zone, n.Shard = zone, shard
@@ -477,7 +475,7 @@
 
 // bound is the most units out at a node: what it answers in its part of the aim, under the ceiling.
 func (g *Gateway) bound(n *Node) float64 {
-	return min(g.rate(n)*n.Part*float64(g.aim)/float64(Second), boundCeiling*g.mean)
+	return min(g.rate(n)*min(max(boundAims*n.Fair, boundLeast), boundMost)*float64(g.aim)/float64(Second), boundCeiling*g.mean)
 }
 
 // takes is the time that a node needs for a job of so many units, by a line through its latest answers.
@@ -569,11 +567,7 @@
 
 // mayGo tells whether a job can go to the node that it is queued at.
 func (g *Gateway) mayGo(n *Node, j *Job) bool {
-	if n.Suspect {
-		if g.now < n.TryAt {
-			return false
-		}
-	} else if g.now < n.FreeAt || n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
+	if g.now < n.TryAt || !n.Suspect && n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
 		return false
 	}
 	return (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
@@ -767,9 +761,6 @@
 	}
 	f.Answered = now
 	g.hear(n, e, took)
-	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 && g.stall() == 0 { // it cannot make the goal
-		n.FreeAt = g.now + min(Time(over*float64(g.now-e.Sent)), Time(pauseMost*float64(g.aim)))
-	}
 	if others > 0 {
 		g.charge(n, f, others)
 	}
@@ -803,6 +794,18 @@
 		n.Judged = g.now
 	}
 	switch e.Outcome {
+	case Full:
+		g.suspect(n, "turns jobs away")
+	case Served, Erred:
+		n.Heard, n.HeardOf = g.now, max(n.HeardOf, e.Sent)
+		if n.Suspect {
+			n.Suspect, n.TryAt = false, 0
+			g.log("%s answers again after %d ms", n.Addr, (g.now-e.Sent)/Millisecond)
+		}
+	case Unconnected:
+		g.suspect(n, "cannot be reached")
+	}
+	switch e.Outcome {
 	case Served:
 		if !n.Known { // until now it counted as the average of the others
 			r := g.rate(n)
@@ -827,18 +830,6 @@
 		fail = 1
 	}
 	n.Failing += w * (fail - n.Failing)
-	switch e.Outcome {
-	case Full:
-		g.suspect(n, "turns jobs away")
-	case Served, Erred:
-		n.Heard, n.HeardOf = g.now, max(n.HeardOf, e.Sent)
-		if n.Suspect {
-			n.Suspect = false
-			g.log("%s answers again after %d ms", n.Addr, (g.now-e.Sent)/Millisecond)
-		}
-	case Unconnected:
-		g.suspect(n, "cannot be reached")
-	}
 	if e.Job.Credit == n && e.Outcome == Served {
 		e.Job.Credit = nil
 		g.repay(n)
@@ -859,10 +850,8 @@
 	n.Size += w * (u - n.Size)
 	n.Spread += w * ((u-n.Size)*(u-n.Size) - n.Spread)
 	n.Slope += w * ((u-n.Size)*(float64(took)-n.Latency) - n.Slope)
-	if g.now <= e.Job.GoalBy {
-		n.Part = min(n.Part*boundMade, boundMost)
-	} else if e.Sent < e.Job.GoalBy {
-		n.Part = max(n.Part*boundMissed, boundLeast)
+	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal, and rests
+		n.TryAt = g.now + min(Time(over*float64(took)), Time(restMost*float64(g.aim)))
 	}
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -239,7 +239,6 @@
 	Busy      float64 // busy time that they took, in seconds, fading with itself
 	BusyAt    Time
 	Heard     Time    // last answer, or when the node last became busy
-	Part      float64 // part of the aim whose answers are the bound
 	Known     bool    // has answered since its start
 	HeardOf   Time    // when the latest of what it answered was sent
 	Latency   float64 // usual time of an execution; Size, Spread and Slope tell how it goes with units
@@ -247,7 +246,6 @@
 	Spread    float64
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
-	FreeAt    Time    // not sent to before, where the bound is under one job
 	Warm      Store
 	Fair      float64
 	Base      float64 // time of a mean job at its best
