--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,6 +21,8 @@
 	boundAims    = 0.5               // the bound is what a node answers in this part of the aim, at first
 	boundLeast   = 0.15              // the narrowest part
 	boundMost    = 1.0               // the widest part
+	boundMissed  = 0.6               // an answer past its goal narrows the part so
+	boundMade    = 1.005             // and one within it widens it so
 	boundFirst   = 4.0               // mean jobs out at a node while nothing is known of any
 	boundCeiling = 32.0              // mean jobs; the bound never passes it
 	standIn      = 2.0               // rates of a plan that stand in for its reserve where no plan has one
@@ -124,14 +126,14 @@
 func (g *Gateway) Listed(addr, zone string, shard int, born Time, standing Standing) {
 	n := g.byAddr[addr]
 	if n == nil {
-		n = &Node{Addr: addr, Born: born, Warm: Store{At: g.now}, Standing: Gone, Credits: creditsEach, Fair: 1,
+		n = &Node{Addr: addr, Born: born, Warm: Store{At: g.now}, Standing: Gone, Credits: creditsEach, Fair: 1, Part: boundAims,
 			flowIndex: map[*Volume]*Flow{}}
 		g.byAddr[addr] = n
 		g.nodes = append(g.nodes, n)
 	}
 	if born > n.Born { // it started anew: what was learned is void, what is out still gets its outcome
 		n.Born, n.Known, n.Suspect, n.Units, n.Busy, n.Latency, n.Failing = born, false, false, 0, 0, 0, 0
-		n.Credits, n.Answers, n.Fair, n.TryAt = creditsEach, n.Answers[:0], 1, 0
+		n.Credits, n.Answers, n.Fair, n.Part, n.TryAt = creditsEach, n.Answers[:0], 1, boundAims, 0
 		n.Warm = Store{At: g.now}
 	}
 	n.Zone, n.Shard = zone, shard
@@ -475,7 +477,7 @@
 
 // bound is the most units out at a node: what it answers in its part of the aim, under the ceiling.
 func (g *Gateway) bound(n *Node) float64 {
-	return min(g.rate(n)*min(max(boundAims*n.Fair, boundLeast), boundMost)*float64(g.aim)/float64(Second), boundCeiling*g.mean)
+	return min(g.rate(n)*n.Part*float64(g.aim)/float64(Second), boundCeiling*g.mean)
 }
 
 // takes is the time that a node needs for a job of so many units, by a line through its latest answers.
@@ -850,6 +852,11 @@
 	n.Size += w * (u - n.Size)
 	n.Spread += w * ((u-n.Size)*(u-n.Size) - n.Spread)
 	n.Slope += w * ((u-n.Size)*(float64(took)-n.Latency) - n.Slope)
+	if g.now <= e.Job.GoalBy {
+		n.Part = min(n.Part*boundMade, boundMost)
+	} else if e.Sent < e.Job.GoalBy {
+		n.Part = max(n.Part*boundMissed, boundLeast)
+	}
 	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal, and rests
 		n.TryAt = g.now + min(Time(over*float64(took)), Time(restMost*float64(g.aim)))
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -239,6 +239,7 @@
 	Busy      float64 // busy time that they took, in seconds, fading with itself
 	BusyAt    Time
 	Heard     Time    // last answer, or when the node last became busy
+	Part      float64 // part of the aim whose answers are the bound
 	Known     bool    // has answered since its start
 	HeardOf   Time    // when the latest of what it answered was sent
 	Latency   float64 // usual time of an execution; Size, Spread and Slope tell how it goes with units
