--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,49 +40,19 @@
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
 	partFirst    = 2.0               // mean jobs for which the even part counts in it
 	baseRise     = 0.02              // weight of an answer slower than a node's best in that best
-	fairGain     = 3.0
-	fairWait     = 0.25
-	fairLeast    = 1.0 / 32
-	fairMost     = 4.0
-	judgeAims    = 10.0       // aims after which an earlier judgement of a node counts a third
-	leaveMemory  = 1.0 / 64   // weight of the newest client in the average of those that leave
-	leavingShare = 0.05       // where more leave before their goal, jobs count by when they leave
-	coldShare    = 0.6        // part of the multiple of what a cold node can do that is used
-	roundsPerAim = 8          // periodic rounds in one aim
-	listWait     = 1 * Second // first wait after a failed list call; it doubles up to the most
+	fairWait     = 0.25              // the wait, in aims, that a node's fair rate is steered to
+	fairGain     = 3.0               // and how fast, as a power, for an aim of difference
+	fairLeast    = 1.0 / 32          // the least fair rate, as a part of its start
+	fairMost     = 4.0               // and the most; from its start on the node is open to all
+	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
+	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
+	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
+	coldShare    = 0.6               // part of the multiple of what a cold node can do that is used
+	roundsPerAim = 8                 // periodic rounds in one aim
+	listWait     = 1 * Second        // first wait after a failed list call; it doubles up to the most
 	listWaitMost = 16 * Second
 )
 
-// Gateway decides for one gateway. It knows the clock, what it is told, and its seed.
-type Gateway struct {
-	now      Time
-	began    Time
-	terms    Terms
-	chance   chance
-	plans    map[string]*Plan
-	products map[string]*Product
-	volumes  map[int64]*Volume
-	jobs     map[string]*Job
-	lines    map[int64]*Line
-	byAddr   map[string]*Node
-	nodes    []*Node
-	held     []*Job
-	due      dueJobs
-	takes    []Time // when jobs were taken, within the budget's window
-	further  []Time // when further executions were sent, within it
-	aim      Time   // the tightest goal time
-	mean     float64
-	fairRate float64
-	whole    bool // the list being told is whole
-	stale    bool // and may be old
-	epoch    int
-	listAt   Time // when to ask the list again; 0 for no need
-	listWait Time
-	roundAt  Time
-	next     *Decision
-	last     *Decision
-}
-
 // New starts a gateway from its seed and what it is told at start.
 func New(now Time, seed uint64, terms Terms) *Gateway {
 	g := &Gateway{now: now, began: now, terms: terms, chance: newChance(seed), plans: map[string]*Plan{},
@@ -126,12 +96,11 @@
 func (g *Gateway) Listed(addr, zone string, shard int, born Time, standing Standing) {
 	n := g.byAddr[addr]
 	if n == nil {
-		n = &Node{Addr: addr, Born: born, Warm: Store{At: g.now}, Standing: Gone, Credits: creditsEach, Fair: 1, Part: boundAims,
-			flowIndex: map[*Volume]*Flow{}}
+		n = &Node{Addr: addr, Born: -1, Standing: Gone, flowIndex: map[*Volume]*Flow{}}
 		g.byAddr[addr] = n
 		g.nodes = append(g.nodes, n)
 	}
-	if born > n.Born { // it started anew: what was learned is void, what is out still gets its outcome
+	if born > n.Born { // new, or started anew: what was learned is void, what is out still gets its outcome
 		n.Born, n.Known, n.Suspect, n.Units, n.Busy, n.Latency, n.Failing = born, false, false, 0, 0, 0, 0
 		n.Credits, n.Answers, n.Fair, n.Part, n.TryAt = creditsEach, n.Answers[:0], 1, boundAims, 0
 		n.Warm = Store{At: g.now}
@@ -232,9 +201,9 @@
 	return v
 }
 
-// served counts units of a volume served by this gateway and by others, and sets this gateway's part of what is
-// due to the volume: its part of the service, and no less than the even one. It keeps many gateways from each
-// giving a volume its whole due, also when its busiest gateway changes; it could hurt while reports are late.
+// served counts units of a volume served by this gateway and by others, and sets this gateway's part of what
+// is due to the volume: its part of the service, at least the even one. So many gateways do not each give it
+// its whole due, also when its busiest gateway changes. It could hurt while reports are late.
 func (g *Gateway) served(v *Volume, own, others float64) {
 	fade := math.Exp(-float64(g.now-v.ServedAt) / float64(partMemory))
 	v.Own, v.Others, v.ServedAt = v.Own*fade+own, v.Others*fade+others, g.now
@@ -247,6 +216,9 @@
 
 // move is the one place where a job changes state.
 func (g *Gateway) move(j *Job, s JobState) {
+	if j.State == Queued && s.Over() {
+		g.flow(j.Node, j.Volume).drop(j)
+	}
 	if j.State == Queued && s != Running && j.Credit != nil {
 		g.repay(j.Credit)
 		j.Credit = nil
@@ -279,9 +251,8 @@
 	g.due.set(j, g.lastChance(j))
 }
 
-// goal is when a job has to be answered to be of use: at its goal time, or when its client will usually have
-// gone, where more than a few clients of its product leave before. It guards against work for clients that
-// are gone by then, whatever makes them leave; it could hurt where only some of them hurry.
+// goal is when a job has to be answered: at its goal time, or when its client will usually have gone, where more
+// than a few clients of its product leave before. It could hurt where only some of them hurry.
 func (j *Job) goal() Time {
 	if p := j.Product; p.Leaving > leavingShare {
 		return min(j.GoalBy, j.Taken+p.Leaves)
@@ -311,9 +282,6 @@
 			j.Wait = min(wait, g.terms.span("retry_after.most"))
 		}
 	}
-	if j.State == Queued {
-		g.flow(j.Node, j.Volume).drop(j)
-	}
 	g.move(j, s)
 	g.next.Ended = append(g.next.Ended, j)
 }
@@ -362,7 +330,8 @@
 func (g *Gateway) flow(n *Node, v *Volume) *Flow {
 	f := n.flowIndex[v]
 	if f == nil {
-		f = &Flow{Volume: v, Start: n.Virtual, Budget: g.budget(), Due: Store{Level: math.Inf(1), Most: math.Inf(1)}}
+		full := Store{Level: math.Inf(1), Most: math.Inf(1)}
+		f = &Flow{Volume: v, Start: n.Virtual, Budget: g.budget(), Due: full}
 		n.flowIndex[v] = f
 		n.Flows = append(n.Flows, f)
 	}
@@ -503,11 +472,10 @@
 	return n.Born > 0 && g.now-n.Born < g.terms.span("cold.time")
 }
 
-// bears keeps cold nodes from being pushed over. All gateways together push, and each sees only itself. A
-// gateway sends, of what is always borne and of what the stated cold share and warm time allow of the rate
-// that it knows, its even part; or more than it was answered there in as long a time, but under the stated
-// multiple: if each gateway does so, all stay under that multiple of what the node can do. Everything sent
-// counts, also what is turned away.
+// bears keeps cold nodes from being pushed over. All gateways together push, and each sees only itself. A gateway
+// sends its even part, saved up and passed by chance, of what is always borne or of what the stated cold share
+// and warm time allow of the rate it knows; or more than it was answered there in as long a time, under the
+// stated multiple. So all stay under that multiple of what the node can do. All that is sent counts.
 func (g *Gateway) bears(n *Node, j *Job) bool {
 	if !g.cold(n) {
 		n.Sends, n.Answers = n.Sends[:0], n.Answers[:0]
@@ -526,16 +494,15 @@
 }
 
 // light tells whether a node needs little of the aim for a mean job. A second execution may then pass the
-// bound: one big job fills it and would hold up small ones at a node that has room. It would hurt at a node
-// that many gateways share.
+// bound, as one big job fills it. It would hurt at a node that many gateways share.
 func (g *Gateway) light(n *Node) bool {
 	return n.Known && n.takes(g.mean) < Time(lightAims*float64(g.aim))
 }
 
-// heavy tells whether a node needs so much of the aim for a mean job that it is left to jobs inside a
-// reserve. Where many gateways share a node, each has few to choose from, and one sends spare jobs while
-// another gives up reserved ones. Once it has answered nothing for an aim, others are let through, to see
-// whether it is still so. It would hurt where reserves are far from used.
+// fair tells whether a job beyond the reserve can go. What a gateway of many saw of a node is soon untrue; what
+// lasts is how much the node can take beyond reserves. Its fair rate follows the wait of answers, and while it is
+// under its start, this gateway's part of it is dealt out by weight. It guards against many gateways that each
+// send a little too much; it could hurt where answers are dear and not late.
 func (g *Gateway) fair(n *Node, j *Job) bool {
 	if n.Fair >= 1 && !g.heavy(n) {
 		return true
@@ -563,16 +530,16 @@
 	return *drawn == Passed
 }
 
+// heavy tells whether a node, heard of within an aim, needs so much of it for a mean job that it is left to
+// reserves: one gateway would send spare jobs while another gives up reserved ones.
 func (g *Gateway) heavy(n *Node) bool {
 	return n.Known && g.now-n.Heard < g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
 }
 
 // mayGo tells whether a job can go to the node that it is queued at.
 func (g *Gateway) mayGo(n *Node, j *Job) bool {
-	if g.now < n.TryAt || !n.Suspect && n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n)) {
-		return false
-	}
-	return (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
+	full := n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n))
+	return g.now >= n.TryAt && (n.Suspect || !full) && (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
 }
 
 // payable tells whether this gateway's part of the volume's limit holds a job's units.
@@ -653,8 +620,7 @@
 // reserved tells whether a job lies inside its volume's reserve.
 func (g *Gateway) reserved(j *Job) bool { return g.within(&j.Volume.Reserve, j, &j.Reserved) }
 
-// charge counts units served for a volume at a node, by this gateway or by others: first on its reserve,
-// which is its due and costs no virtual time, then on its virtual time.
+// charge counts units beyond the reserve, sent by this gateway or served by others, on virtual time.
 func (g *Gateway) charge(n *Node, f *Flow, units float64) {
 	weights, least := 0.0, math.Inf(1)
 	f.Start += units / f.Volume.Plan.Weight
@@ -832,6 +798,9 @@
 		fail = 1
 	}
 	n.Failing += w * (fail - n.Failing)
+	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 && g.stall() == 0 { // it rests
+		n.TryAt = max(n.TryAt, g.now+min(Time(over*float64(took)), Time(restMost*float64(g.aim))))
+	}
 	if e.Job.Credit == n && e.Outcome == Served {
 		e.Job.Credit = nil
 		g.repay(n)
@@ -857,12 +826,10 @@
 	} else if e.Sent < e.Job.GoalBy {
 		n.Part = max(n.Part*boundMissed, boundLeast)
 	}
-	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal, and rests
-		n.TryAt = g.now + min(Time(over*float64(took)), Time(restMost*float64(g.aim)))
-	}
 }
 
-// stall is how long this gateway itself stood still before the present moment: its periodic round is overdue.
+// stall is how long this gateway itself stood still before now: its periodic round is overdue. What it finds then
+// does not tell how long nodes took. It could hurt where every step comes late.
 func (g *Gateway) stall() Time {
 	if late := g.now - g.roundAt; g.roundAt > 0 && late > g.aim/roundsPerAim {
 		return late
@@ -900,9 +867,6 @@
 	if j == nil || j.State.Over() {
 		return
 	}
-	if j.State == Queued {
-		g.flow(j.Node, j.Volume).drop(j)
-	}
 	if p := j.Product; now < j.GoalBy {
 		g.leaving(p, 1)
 		if p.Leaves == 0 {
@@ -921,7 +885,11 @@
 func (g *Gateway) Decide(now Time) *Decision {
 	g.now = now
 	for j := g.due.take(now); j != nil; j = g.due.take(now) {
-		g.review(j)
+		if j.State == Running {
+			g.overlook(j)
+		} else { // its last chance to make its goal has gone by
+			g.giveUp(j)
+		}
 	}
 	if now >= g.roundAt {
 		g.round()
@@ -976,21 +944,10 @@
 	}
 }
 
-// review looks at a job whose due time has come.
-func (g *Gateway) review(j *Job) {
-	switch j.State {
-	case Held, Queued:
-		g.giveUp(j)
-	case Running:
-		g.overlook(j)
-	}
-}
-
 // overlook looks at a job that has an execution out. At a node that fails some, one that is out for several
-// times what it should take, while what was sent after it has been answered, counts as lost: it holds no room
-// any more, and the job is sent once more while it can make its goal. So is a new object that sits at a
-// suspect node. It guards against links and nodes that lose a part of what they take; it could hurt where a
-// failing node is also slow, as that is then sent more.
+// times what it should take, while later ones have been answered, counts as lost: it holds no room any more,
+// and the job is sent once more while it can make its goal; so is a new object at a suspect node. It guards
+// against nodes that lose some of what they take; it could hurt where a failing node is also slow.
 func (g *Gateway) overlook(j *Job) {
 	e := j.Execs[len(j.Execs)-1]
 	if e.Outcome != Out {
--- a/decide/types.go
+++ b/decide/types.go
@@ -293,3 +293,33 @@
 	Log      []string
 	NextWake Time // call again at this time at the latest; 0 for no need
 }
+
+// Gateway decides for one gateway. It knows the clock, what it is told, and its seed.
+type Gateway struct {
+	now      Time
+	began    Time
+	terms    Terms
+	chance   chance
+	plans    map[string]*Plan
+	products map[string]*Product
+	volumes  map[int64]*Volume
+	jobs     map[string]*Job
+	lines    map[int64]*Line
+	byAddr   map[string]*Node
+	nodes    []*Node
+	held     []*Job
+	due      dueJobs
+	takes    []Time // when jobs were taken, within the budget's window
+	further  []Time // when further executions were sent, within it
+	aim      Time   // the tightest goal time
+	mean     float64
+	fairRate float64
+	whole    bool // the list being told is whole
+	stale    bool // and may be old
+	epoch    int
+	listAt   Time // when to ask the list again; 0 for no need
+	listWait Time
+	roundAt  Time
+	next     *Decision
+	last     *Decision
+}
