--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,7 @@
 	fairWait     = 0.25              // the wait, in aims, that a node's fair rate is steered to
 	fairGain     = 3.0               // and how fast, as a power, for an aim of difference
 	fairLeast    = 1.0 / 32          // the least fair rate, as a part of its start
-	fairMost     = 4.0               // and the most; from its start on the node is open to all
+	fairMost     = 1.5               // and the most; from its start on the node is open to all
 	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
 	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
