--- a/decide/decide.go
+++ b/decide/decide.go
@@ -396,7 +396,6 @@
 			continue
 		}
 		wait := (n.Out + g.backlog(n) + j.Units) / g.rate(n) / max(1-n.Failing, 0.05) * (1 + g.chance.part()/8)
-		wait /= min(n.Fair, 1)
 		if g.cold(n) {
 			wait += 1e6 // what a cold node bears is for the jobs that no other can serve, unless all are cold
 		}
