--- a/decide/decide.go
+++ b/decide/decide.go
@@ -683,7 +683,7 @@
 		n.TryAt = g.now + Time(float64(g.aim)*(1+g.chance.part()))
 	}
 	g.next.Start = append(g.next.Start, e)
-	g.due.set(j, g.now+max(overdueTimes*n.takes(j.Units), g.aim/roundsPerAim))
+	g.due.set(j, g.now+max(min(overdueTimes*n.takes(j.Units), g.aim), g.aim/roundsPerAim))
 }
 
 // repay gives a node a credit back.
@@ -756,11 +756,7 @@
 func (g *Gateway) hear(n *Node, e *Execution, took Time) {
 	u := e.Job.Units
 	fail := 0.0
-	// The longer since the node was last judged, the more one outcome says: a gateway of many meets it seldom.
-	w := max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim))))
-	if e.Outcome != CalledOff && e.Outcome != Moot {
-		n.Judged = g.now
-	}
+	w := g.weight(n)
 	switch e.Outcome {
 	case Full:
 		g.suspect(n, "turns jobs away")
@@ -798,15 +794,19 @@
 		fail = 1
 	}
 	n.Failing += w * (fail - n.Failing)
-	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 && g.stall() == 0 { // it rests
-		n.TryAt = max(n.TryAt, g.now+min(Time(over*float64(took)), Time(restMost*float64(g.aim))))
-	}
 	if e.Job.Credit == n && e.Outcome == Served {
 		e.Job.Credit = nil
 		g.repay(n)
 	}
 }
 
+// weight is that of one more outcome: the longer since the last, the more, as a gateway of many meets a node seldom.
+func (g *Gateway) weight(n *Node) float64 {
+	w := max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim))))
+	n.Judged = g.now
+	return w
+}
+
 // timed learns from how long an execution took.
 func (g *Gateway) timed(n *Node, e *Execution, took Time, w float64) {
 	u := e.Job.Units
@@ -826,6 +826,9 @@
 	} else if e.Sent < e.Job.GoalBy {
 		n.Part = max(n.Part*boundMissed, boundLeast)
 	}
+	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal, and rests
+		n.TryAt = max(n.TryAt, g.now+min(Time(over*float64(took)), Time(restMost*float64(g.aim))))
+	}
 }
 
 // stall is how long this gateway itself stood still before now: its periodic round is overdue. What it finds then
@@ -954,6 +957,10 @@
 		return // an earlier one is out still
 	}
 	n := e.Node
+	if !e.Late && g.now-e.Sent > g.aim && n.Known && g.stall() == 0 {
+		e.Late = true // silence tells as much as a late answer, and sooner
+		g.timed(n, e, g.now-e.Sent, g.weight(n))
+	}
 	overdue := n.Failing > failingShare && n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
 	if overdue && !e.Lost {
 		e.Lost = true
--- a/decide/types.go
+++ b/decide/types.go
@@ -191,6 +191,7 @@
 	Limit     Time // time-out; 0 for none before the client gives up
 	Outcome   Outcome
 	CalledOff bool
+	Late      bool // out for over an aim, and noted
 	Lost      bool // overdue, and not counted as out any more
 }
 
