--- a/decide/decide.go
+++ b/decide/decide.go
@@ -771,18 +771,10 @@
 	}
 	switch e.Outcome {
 	case Served:
-		if !n.Known { // until now it counted as the average of the others
-			r := g.rate(n)
-			n.Known, n.Busy = true, float64(g.aim)/float64(Second)
-			n.Units = r * n.Busy
-			n.Latency, n.Size, n.Spread, n.Slope = float64(took), u, 0, 0
-			n.Base = float64(took) * g.mean / u // or less, if others do better at their best
-			n.Base = min(n.Base, g.over(func(n *Node) float64 { return n.Base }))
-		}
-		n.Units += u
 		if g.stall() == 0 {
 			g.timed(n, e, took, w)
 		}
+		n.Units += u
 		if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
 			n.Answers = append(n.Answers, Spent{g.now, u})
 		}
@@ -790,6 +782,11 @@
 		n.Units *= 1 - gapMemory
 	case CalledOff, Moot:
 		return
+	case TimedOut: // it was lost where later ones were answered, and else it waited
+		if fail = 1; n.HeardOf <= e.Sent && g.stall() == 0 {
+			fail = 0
+			g.timed(n, e, took, w)
+		}
 	default:
 		fail = 1
 	}
@@ -810,6 +807,14 @@
 // timed learns from how long an execution took.
 func (g *Gateway) timed(n *Node, e *Execution, took Time, w float64) {
 	u := e.Job.Units
+	if !n.Known { // until now it counted as the average of the others
+		r := g.rate(n)
+		n.Known, n.Busy = true, float64(g.aim)/float64(Second)
+		n.Units = r * n.Busy
+		n.Latency, n.Size, n.Spread, n.Slope = float64(took), u, 0, 0
+		n.Base = float64(took) * g.mean / u // or less, if others do better at their best
+		n.Base = min(n.Base, g.over(func(n *Node) float64 { return n.Base }))
+	}
 	wait := (float64(took) - n.Base*max(u/g.mean, 1)) / float64(g.aim)
 	n.Fair = min(max(n.Fair*math.Exp(fairGain*w*(fairWait-min(max(wait, 0), 2))), fairLeast), fairMost)
 	if at := float64(took) * g.mean / u; at < n.Base {
@@ -957,7 +962,7 @@
 		return // an earlier one is out still
 	}
 	n := e.Node
-	if !e.Late && g.now-e.Sent > g.aim && n.Known && g.stall() == 0 {
+	if !e.Late && g.now-e.Sent > g.aim && g.stall() == 0 {
 		e.Late = true // silence tells as much as a late answer, and sooner
 		g.timed(n, e, g.now-e.Sent, g.weight(n))
 	}
