--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,7 +4,7 @@
 // Listed, ListDone, ListFailed, Take, Begun, Ended, Left, Probed. After the last call of a moment,
 // Decide(now) says what to do: executions to start and call off, jobs ended, list calls, log lines, and when
 // to call again. The interface is in types.go (what is handed in and out); chance.go, due.go and start.go
-// hold mechanics only. The mechanism and its exceptions are told in docs/design.md, by the names used here.
+// hold mechanics only. docs/design.md tells of the mechanism and its exceptions, by the names used here.
 package decide
 
 import (
@@ -13,7 +13,7 @@
 	"slices"
 )
 
-// Open values of the design, in units of the mechanism. "Aim" is the tightest goal time of all products.
+// Open values of the design. "Aim" is the tightest goal time of all products.
 const (
 	budgetJobs   = 8.0               // default budget of a turn, in mean jobs
 	budgetFloor  = 32.0              // the minimum budget is the default divided by this
@@ -32,8 +32,7 @@
 	creditsEach  = 4                 // credits of a node for new objects
 	creditDrip   = 4.0               // a credit lost without a good answer comes back after so many aims
 	gapMemory    = 0.125             // weight of the newest send gap, latency or failure in its average
-	quietAims    = 1.0               // a node with work out that answers nothing for so many aims and
-	quietTimes   = 4.0               // so many of its usual latencies is suspect
+	quietTimes   = 4.0               // a node that answers nothing for an aim and so many usual times is suspect
 	overdueTimes = 4                 // an execution is overdue after so many times what it should take
 	failingShare = 0.05              // and counts as lost at a node that fails more than this share
 	restMost     = 32.0              // the longest rest of a node that needs over the aim, in aims
@@ -59,8 +58,7 @@
 		products: map[string]*Product{}, volumes: map[int64]*Volume{}, jobs: map[string]*Job{},
 		lines: map[int64]*Line{}, byAddr: map[string]*Node{}, next: &Decision{},
 		last: &Decision{}, listWait: listWait}
-	reserves := false
-	rates, weights := 0.0, 0.0
+	reserves, rates, weights := false, 0.0, 0.0
 	for i := range terms.count("plans") {
 		p := terms.plan(i)
 		g.plans[p.Name] = p
@@ -122,8 +120,8 @@
 	}
 }
 
-// ListFailed tells that a list call failed. That does not say whether a watch still stands, so it is asked
-// anew, after a wait that doubles and is spread so that the gateways do not come back at one moment.
+// ListFailed tells that a list call failed, which does not say whether a watch still stands. It is asked anew
+// after a wait that doubles, spread so that the gateways do not come back at one moment.
 func (g *Gateway) ListFailed(now Time) {
 	g.now = now
 	if g.terms["discovery"] == "ask" {
@@ -135,11 +133,8 @@
 
 // stand notes a node's standing. What was queued at a node that goes is placed anew.
 func (g *Gateway) stand(n *Node, s Standing) {
-	if n.Standing == s {
-		return
-	}
-	n.Standing, n.touched = s, true
-	if s == Ready {
+	n.touched = n.touched || n.Standing != s
+	if n.Standing = s; s == Ready {
 		return
 	}
 	for _, f := range n.Flows {
@@ -177,8 +172,8 @@
 	g.hold(j, 0)
 }
 
-// volume finds or makes a volume. Its part of a limit is even among its gateways, and starts empty at a start
-// of the gateway: one that was killed does not know what it had sent.
+// volume finds or makes a volume. Its part of a limit is even, and empty at the gateway's start: one that was
+// killed does not know what it had sent.
 func (g *Gateway) volume(id int64, plan string, hosts float64) *Volume {
 	v := g.volumes[id]
 	if v == nil {
@@ -201,9 +196,8 @@
 	return v
 }
 
-// served counts units of a volume served by this gateway and by others, and sets this gateway's part of what
-// is due to the volume: its part of the service, at least the even one. So many gateways do not each give it
-// its whole due, also when its busiest gateway changes. It could hurt while reports are late.
+// served counts units of a volume served by this gateway and others, and sets this gateway's part of its due:
+// its part of the service, at least the even one. It could hurt while reports are late.
 func (g *Gateway) served(v *Volume, own, others float64) {
 	fade := math.Exp(-float64(g.now-v.ServedAt) / float64(partMemory))
 	v.Own, v.Others, v.ServedAt = v.Own*fade+own, v.Others*fade+others, g.now
@@ -251,8 +245,8 @@
 	g.due.set(j, g.lastChance(j))
 }
 
-// goal is when a job has to be answered: at its goal time, or when its client will usually have gone, where more
-// than a few clients of its product leave before. It could hurt where only some of them hurry.
+// goal is when a job has to be answered: at its goal time, or when its client will usually have gone, where
+// more than a few leave before. It could hurt where only some of them hurry.
 func (j *Job) goal() Time {
 	if p := j.Product; p.Leaving > leavingShare {
 		return min(j.GoalBy, j.Taken+p.Leaves)
@@ -472,10 +466,9 @@
 	return n.Born > 0 && g.now-n.Born < g.terms.span("cold.time")
 }
 
-// bears keeps cold nodes from being pushed over. All gateways together push, and each sees only itself. A gateway
-// sends its even part, saved up and passed by chance, of what is always borne or of what the stated cold share
-// and warm time allow of the rate it knows; or more than it was answered there in as long a time, under the
-// stated multiple. So all stay under that multiple of what the node can do. All that is sent counts.
+// bears keeps cold nodes from being pushed over. All gateways push, and each sees only itself. Each sends its
+// even part, saved up and passed by chance, of what is always borne or of what the stated cold share allows
+// of the rate it knows; or more than it was answered there in as long, under the stated multiple.
 func (g *Gateway) bears(n *Node, j *Job) bool {
 	if !g.cold(n) {
 		n.Sends, n.Answers = n.Sends[:0], n.Answers[:0]
@@ -493,16 +486,15 @@
 	return g.within(&n.Warm, j, &j.Cold)
 }
 
-// light tells whether a node needs little of the aim for a mean job. A second execution may then pass the
-// bound, as one big job fills it. It would hurt at a node that many gateways share.
+// light tells whether a second execution may pass the bound, as one big job fills it: where a mean job needs
+// little of the aim. It would hurt at a node that many gateways share.
 func (g *Gateway) light(n *Node) bool {
 	return n.Known && n.takes(g.mean) < Time(lightAims*float64(g.aim))
 }
 
-// fair tells whether a job beyond the reserve can go. What a gateway of many saw of a node is soon untrue; what
-// lasts is how much the node can take beyond reserves. Its fair rate follows the wait of answers, and while it is
-// under its start, this gateway's part of it is dealt out by weight. It guards against many gateways that each
-// send a little too much; it could hurt where answers are dear and not late.
+// fair tells whether a job beyond the reserve can go. What one of many gateways saw of a node is soon untrue;
+// what lasts is how much it can take beyond reserves. Its fair rate follows the wait of answers; under its
+// start, this gateway's part is dealt out by weight. It could hurt where answers are dear and not late.
 func (g *Gateway) fair(n *Node, j *Job) bool {
 	if n.Fair >= 1 && !g.heavy(n) {
 		return true
@@ -531,7 +523,7 @@
 }
 
 // heavy tells whether a node, heard of within an aim, needs so much of it for a mean job that it is left to
-// reserves: one gateway would send spare jobs while another gives up reserved ones.
+// reserves: else one gateway sends spare jobs while another gives up reserved ones.
 func (g *Gateway) heavy(n *Node) bool {
 	return n.Known && g.now-n.Heard < g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
 }
@@ -721,10 +713,8 @@
 		return
 	}
 	e := j.Execs[number]
-	n := e.Node
-	f := g.flow(n, j.Volume)
-	e.Outcome = o
-	if !e.Lost {
+	n, f := e.Node, g.flow(e.Node, j.Volume)
+	if e.Outcome = o; !e.Lost {
 		g.release(e)
 	}
 	f.Answered = now
@@ -754,12 +744,11 @@
 
 // hear learns from an execution's outcome.
 func (g *Gateway) hear(n *Node, e *Execution, took Time) {
-	u := e.Job.Units
-	fail := 0.0
-	w := g.weight(n)
+	if e.Outcome == CalledOff || e.Outcome == Moot {
+		return
+	}
+	w, fail := g.weight(n), 1.0
 	switch e.Outcome {
-	case Full:
-		g.suspect(n, "turns jobs away")
 	case Served, Erred:
 		n.Heard, n.HeardOf = g.now, max(n.HeardOf, e.Sent)
 		if n.Suspect {
@@ -768,36 +757,31 @@
 		}
 	case Unconnected:
 		g.suspect(n, "cannot be reached")
+	case Full:
+		fail = 0
+		g.suspect(n, "turns jobs away")
 	}
-	switch e.Outcome {
-	case Served:
+	if e.Outcome == Served || e.Outcome == TimedOut && n.HeardOf <= e.Sent { // if nothing overtook it, it waited
+		fail = 0
 		if g.stall() == 0 {
 			g.timed(n, e, took, w)
 		}
-		n.Units += u
-		if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
-			n.Answers = append(n.Answers, Spent{g.now, u})
-		}
-	case Full:
-		n.Units *= 1 - gapMemory
-	case CalledOff, Moot:
-		return
-	case TimedOut: // it was lost where later ones were answered, and else it waited
-		if fail = 1; n.HeardOf <= e.Sent && g.stall() == 0 {
-			fail = 0
-			g.timed(n, e, took, w)
-		}
-	default:
-		fail = 1
 	}
 	n.Failing += w * (fail - n.Failing)
-	if e.Job.Credit == n && e.Outcome == Served {
+	if e.Outcome != Served {
+		return
+	}
+	n.Units += e.Job.Units
+	if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
+		n.Answers = append(n.Answers, Spent{g.now, e.Job.Units})
+	}
+	if e.Job.Credit == n {
 		e.Job.Credit = nil
 		g.repay(n)
 	}
 }
 
-// weight is that of one more outcome: the longer since the last, the more, as a gateway of many meets a node seldom.
+// weight is that of one more outcome: the longer since the last, the more.
 func (g *Gateway) weight(n *Node) float64 {
 	w := max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim))))
 	n.Judged = g.now
@@ -815,8 +799,7 @@
 		n.Base = float64(took) * g.mean / u // or less, if others do better at their best
 		n.Base = min(n.Base, g.over(func(n *Node) float64 { return n.Base }))
 	}
-	wait := (float64(took) - n.Base*max(u/g.mean, 1)) / float64(g.aim)
-	n.Fair = min(max(n.Fair*math.Exp(fairGain*w*(fairWait-min(max(wait, 0), 2))), fairLeast), fairMost)
+	g.steer(n, (float64(took)-n.Base*max(u/g.mean, 1))/float64(g.aim), w)
 	if at := float64(took) * g.mean / u; at < n.Base {
 		n.Base += w * (at - n.Base)
 	} else {
@@ -836,8 +819,13 @@
 	}
 }
 
-// stall is how long this gateway itself stood still before now: its periodic round is overdue. What it finds then
-// does not tell how long nodes took. It could hurt where every step comes late.
+// steer moves a node's fair rate by how long an answer waited, in aims.
+func (g *Gateway) steer(n *Node, wait, w float64) {
+	n.Fair = min(max(n.Fair*math.Exp(fairGain*w*(fairWait-min(max(wait, 0), 2))), fairLeast), fairMost)
+}
+
+// stall is how long this gateway itself stood still before now: its periodic round is overdue. What it finds
+// then does not tell how long nodes took. It could hurt where every step comes late.
 func (g *Gateway) stall() Time {
 	if late := g.now - g.roundAt; g.roundAt > 0 && late > g.aim/roundsPerAim {
 		return late
@@ -940,7 +928,7 @@
 	for _, n := range g.nodes {
 		n.touched = true
 		if n.Execs > 0 {
-			if quiet := g.now - n.Heard; quiet > Time(quietAims*float64(g.aim)+quietTimes*n.Latency) {
+			if quiet := g.now - n.Heard; quiet > g.aim+Time(quietTimes*n.Latency) {
 				g.suspect(n, "answers nothing")
 			}
 		}
@@ -964,10 +952,10 @@
 	n := e.Node
 	if !e.Late && g.now-e.Sent > g.aim && g.stall() == 0 {
 		e.Late = true // silence tells as much as a late answer, and sooner
-		g.timed(n, e, g.now-e.Sent, g.weight(n))
+		g.steer(n, 1, g.weight(n))
 	}
-	overdue := n.Failing > failingShare && n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
-	if overdue && !e.Lost {
+	overdue := n.HeardOf > e.Sent && g.now-e.Sent > overdueTimes*n.takes(j.Units)
+	if overdue && !e.Lost && n.Failing > failingShare {
 		e.Lost = true
 		g.release(e)
 	}
