--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,7 +46,7 @@
 	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
 	leavingShare = 0.05              // where more leave before their goal, jobs count by when they leave
-	coldShare    = 0.6               // part of the multiple of what a cold node can do that is used
+	coldShare    = 0.5               // part of the multiple of what a cold node can do that is used
 	roundsPerAim = 8                 // periodic rounds in one aim
 	listWait     = 1 * Second        // first wait after a failed list call; it doubles up to the most
 	listWaitMost = 16 * Second
@@ -916,6 +916,7 @@
 
 // round is the periodic work.
 func (g *Gateway) round() {
+	stalled := g.stall()
 	g.roundAt = g.now + max(g.aim/roundsPerAim, Millisecond)
 	if g.listAt > 0 && g.now >= g.listAt {
 		g.listAt, g.next.Watch = 0, true
@@ -927,11 +928,10 @@
 	}
 	for _, n := range g.nodes {
 		n.touched = true
-		if n.Execs > 0 {
-			if quiet := g.now - n.Heard; quiet > g.aim+Time(quietTimes*n.Latency) {
-				g.suspect(n, "answers nothing")
-			}
+		if n.Execs > 0 && g.now-n.Heard-stalled > g.aim+Time(quietTimes*n.Latency) {
+			g.suspect(n, "answers nothing")
 		}
+		g.mode(&n.Strained, n.Fair < 1, "%s is strained: %%t, fair rate %.0f%%%% of its start", n.Addr, 100*n.Fair)
 		g.mode(&n.Fails, n.Failing > failingShare, "%s fails some: %%t, %.0f%%%%", n.Addr, 100*n.Failing)
 		if n.Credits < creditsEach && g.now-n.CreditAt >= Time(creditDrip*float64(g.aim)) {
 			n.CreditAt = g.now
--- a/decide/types.go
+++ b/decide/types.go
@@ -253,7 +253,7 @@
 	Base      float64 // time of a mean job at its best
 	Judged    Time    // and when that was last seen
 	Suspect   bool
-	Heavy     bool // the modes last logged
+	Strained  bool // the modes last logged
 	Fails     bool
 	TryAt     Time
 	CreditAt  Time
