--- a/decide/decide.go
+++ b/decide/decide.go
@@ -248,8 +248,8 @@
 // goal is when a job has to be answered: at its goal time, or when its client will usually have gone, where
 // more than a few leave before. It could hurt where only some of them hurry.
 func (j *Job) goal() Time {
-	if p := j.Product; p.Leaving > leavingShare {
-		return min(j.GoalBy, j.Taken+p.Leaves)
+	if p := j.Volume.Plan; p.Leaving > leavingShare {
+		return min(j.GoalBy, j.Taken+Time(p.Leaves*float64(j.Product.Goal)))
 	}
 	return j.GoalBy
 }
@@ -732,7 +732,7 @@
 	case j.State.Over():
 		g.forget(j)
 	case final && o == Served:
-		g.leaving(j.Product, 0)
+		g.leaving(j.Volume.Plan, 0)
 		g.move(j, Completed)
 		g.callOff(j, e)
 	case final:
@@ -863,12 +863,13 @@
 	if j == nil || j.State.Over() {
 		return
 	}
-	if p := j.Product; now < j.GoalBy {
+	if p := j.Volume.Plan; now < j.GoalBy {
 		g.leaving(p, 1)
+		after := float64(now-j.Taken) / float64(max(j.Product.Goal, 1))
 		if p.Leaves == 0 {
-			p.Leaves = now - j.Taken
+			p.Leaves = after
 		}
-		p.Leaves += Time(leaveMemory * float64(now-j.Taken-p.Leaves))
+		p.Leaves += leaveMemory * (after - p.Leaves)
 	}
 	g.move(j, Withdrawn)
 	g.callOff(j, nil)
@@ -984,10 +985,10 @@
 }
 
 // leaving counts a client that left before the goal, or one that was served.
-func (g *Gateway) leaving(p *Product, left float64) {
+func (g *Gateway) leaving(p *Plan, left float64) {
 	p.Leaving += leaveMemory * (left - p.Leaving)
-	g.mode(&p.Hurried, p.Leaving > leavingShare, "clients of %s leave early: %%t, %.0f%%%%, after %d ms", p.Name,
-		100*p.Leaving, p.Leaves/Millisecond)
+	g.mode(&p.Hurried, p.Leaving > leavingShare, "clients of %s leave early: %%t, %.0f%%%%, after %.2f of the goal",
+		p.Name, 100*p.Leaving, p.Leaves)
 }
 
 // mode logs a change of mode, with what caused it.
--- a/decide/types.go
+++ b/decide/types.go
@@ -81,6 +81,9 @@
 	Rate         float64
 	Reserve      float64
 	Limit, Burst float64
+	Leaving      float64 // share of its clients that leave before the goal, lately
+	Leaves       float64 // and after what part of the goal time they do
+	Hurried      bool    // the mode last logged
 }
 
 // Product is a kind of job.
@@ -92,9 +95,6 @@
 	Patience Time    // how long a client waits over all its tries
 	Window   Time    // how long repeats of a referenced job are known
 	InTurn   bool    // jobs of one key run one at a time
-	Leaving  float64 // share of clients that leave before the goal, lately
-	Leaves   Time    // and after how long they do
-	Hurried  bool    // the mode last logged
 	Share    float64 // longest time to the hard stop yet seen, as a part of Patience
 }
 
