--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,7 +42,6 @@
 	fairWait     = 0.25              // the wait, in aims, that a node's fair rate is steered to
 	fairGain     = 3.0               // and how fast, as a power, for an aim of difference
 	fairLeast    = 1.0 / 32          // the least fair rate, as a part of its start
-	tightFair    = 0.125             //
 	fairMost     = 4.0               // and the most; from its start on the node is open to all
 	judgeAims    = 10.0              // aims after which an earlier judgement of a node counts a third
 	leaveMemory  = 1.0 / 64          // weight of the newest client in the average of those that leave
@@ -532,17 +531,7 @@
 // mayGo tells whether a job can go to the node that it is queued at.
 func (g *Gateway) mayGo(n *Node, j *Job) bool {
 	full := n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n))
-	return g.now >= n.TryAt && (n.Suspect || !full) && (g.reserved(j) && g.tight(n, j) || g.fair(n, j)) && g.bears(n, j)
-}
-
-func (g *Gateway) tight(n *Node, j *Job) bool {
-	if j.Tight == Undrawn {
-		j.Tight = Missed
-		if g.chance.part() < n.Fair/tightFair {
-			j.Tight = Passed
-		}
-	}
-	return j.Tight == Passed
+	return g.now >= n.TryAt && (n.Suspect || !full) && (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
 }
 
 // payable tells whether this gateway's part of the volume's limit holds a job's units.
--- a/decide/types.go
+++ b/decide/types.go
@@ -148,28 +148,28 @@
 
 // Job is one thing asked by a client. It gets exactly one final answer.
 type Job struct {
-	ID                           string
-	Volume                       *Volume
-	Product                      *Product
-	Units                        float64
-	Shard                        int // the shard that holds its data; below 0 for a new object
-	Key                          int64
-	Write                        bool
-	Taken                        Time
-	GoalBy                       Time
-	StopBy                       Time
-	State                        JobState
-	Wait                         Time // how long the client is asked to wait, when dismissed
-	Execs                        []*Execution
-	Node                         *Node // where it is queued
-	NotTill                      Time  // rests until then between executions
-	Credit                       *Node // the node that lent it a credit for a new object
-	Paid                         bool  // its units were taken from its volume's limit
-	Line                         *Line // the jobs of its key, where the product keeps order
-	Reserved, Spare, Cold, Tight Draw
-	Answered                     bool
-	due                          Time
-	place                        int // in the due heap, counted from 1
+	ID                    string
+	Volume                *Volume
+	Product               *Product
+	Units                 float64
+	Shard                 int // the shard that holds its data; below 0 for a new object
+	Key                   int64
+	Write                 bool
+	Taken                 Time
+	GoalBy                Time
+	StopBy                Time
+	State                 JobState
+	Wait                  Time // how long the client is asked to wait, when dismissed
+	Execs                 []*Execution
+	Node                  *Node // where it is queued
+	NotTill               Time  // rests until then between executions
+	Credit                *Node // the node that lent it a credit for a new object
+	Paid                  bool  // its units were taken from its volume's limit
+	Line                  *Line // the jobs of its key, where the product keeps order
+	Reserved, Spare, Cold Draw
+	Answered              bool
+	due                   Time
+	place                 int // in the due heap, counted from 1
 }
 
 // out counts the executions without an outcome.
