--- a/decide/decide.go
+++ b/decide/decide.go
@@ -761,11 +761,11 @@
 		fail = 0
 		g.suspect(n, "turns jobs away")
 	}
-	if e.Outcome == Served || e.Outcome == TimedOut && n.HeardOf <= e.Sent { // if nothing overtook it, it waited
+	if e.Outcome == Served {
 		fail = 0
-		if g.stall() == 0 {
-			g.timed(n, e, took, w)
-		}
+	}
+	if (e.Outcome == Served || e.Outcome == TimedOut && n.HeardOf <= e.Sent) && g.stall() == 0 {
+		g.timed(n, e, took, w) // what nothing overtook was lost, or waited
 	}
 	n.Failing += w * (fail - n.Failing)
 	if e.Outcome != Served {
