--- a/decide/decide.go
+++ b/decide/decide.go
@@ -764,7 +764,7 @@
 	if e.Outcome == Served {
 		fail = 0
 	}
-	if (e.Outcome == Served || e.Outcome == TimedOut && n.HeardOf <= e.Sent) && g.stall() == 0 {
+	if (e.Outcome == Served || e.Outcome == TimedOut && n.HeardOf <= e.Sent && false) && g.stall() == 0 {
 		g.timed(n, e, took, w) // what nothing overtook was lost, or waited
 	}
 	n.Failing += w * (fail - n.Failing)
@@ -951,7 +951,7 @@
 		return // an earlier one is out still
 	}
 	n := e.Node
-	if !e.Late && g.now-e.Sent > g.aim && g.stall() == 0 {
+	if !e.Late && n.HeardOf <= e.Sent && g.now-e.Sent > g.aim && g.stall() == 0 {
 		e.Late = true // silence tells as much as a late answer, and sooner
 		g.steer(n, 1, g.weight(n))
 	}
