--- a/decide/decide.go
+++ b/decide/decide.go
@@ -760,12 +760,14 @@
 	case Full:
 		fail = 0
 		g.suspect(n, "turns jobs away")
+	case TimedOut: // lost, or it waited
+		g.steer(n, 2, w)
 	}
 	if e.Outcome == Served {
 		fail = 0
-	}
-	if (e.Outcome == Served || e.Outcome == TimedOut && n.HeardOf <= e.Sent && false) && g.stall() == 0 {
-		g.timed(n, e, took, w) // what nothing overtook was lost, or waited
+		if g.stall() == 0 {
+			g.timed(n, e, took, w)
+		}
 	}
 	n.Failing += w * (fail - n.Failing)
 	if e.Outcome != Served {
