--- a/decide/decide.go
+++ b/decide/decide.go
@@ -760,8 +760,10 @@
 	case Full:
 		fail = 0
 		g.suspect(n, "turns jobs away")
-	case TimedOut: // lost, or it waited
-		g.steer(n, 2, w)
+	case TimedOut:
+		if n.Heard <= e.Sent && g.stall() == 0 { // it was silent all the while, and rests
+			n.TryAt = g.now + Time(float64(took)*4*(0.5+g.chance.part()))
+		}
 	}
 	if e.Outcome == Served {
 		fail = 0
