--- a/decide/decide.go
+++ b/decide/decide.go
@@ -762,7 +762,7 @@
 		g.suspect(n, "turns jobs away")
 	case TimedOut:
 		if n.Heard <= e.Sent && g.stall() == 0 { // it was silent all the while, and rests
-			n.TryAt = g.now + Time(float64(took)*4*(0.5+g.chance.part()))
+			n.TryAt = g.now + Time(float64(took)*(1+g.chance.part()))
 		}
 	}
 	if e.Outcome == Served {
