--- a/decide/decide.go
+++ b/decide/decide.go
@@ -486,8 +486,7 @@
 	return g.within(&n.Warm, j, &j.Cold)
 }
 
-// light tells whether a second execution may pass the bound, as one big job fills it: where a mean job needs
-// little of the aim. It would hurt at a node that many gateways share.
+// light: a second job may pass the bound, as one big one fills it. It would hurt where many share a node.
 func (g *Gateway) light(n *Node) bool {
 	return n.Known && n.takes(g.mean) < Time(lightAims*float64(g.aim))
 }
@@ -522,8 +521,7 @@
 	return *drawn == Passed
 }
 
-// heavy tells whether a node, heard of within an aim, needs so much of it for a mean job that it is left to
-// reserves: else one gateway sends spare jobs while another gives up reserved ones.
+// heavy: just heard of as slow for a mean job, a node is left to reserves, lest others' spare jobs go first.
 func (g *Gateway) heavy(n *Node) bool {
 	return n.Known && g.now-n.Heard < g.aim && n.takes(g.mean) > Time(heavyAims*float64(g.aim))
 }
@@ -748,6 +746,10 @@
 		return
 	}
 	w, fail := g.weight(n), 1.0
+	if e.Outcome == Served || e.Outcome == Full {
+		fail = 0
+	}
+	n.Failing += w * (fail - n.Failing)
 	switch e.Outcome {
 	case Served, Erred:
 		n.Heard, n.HeardOf = g.now, max(n.HeardOf, e.Sent)
@@ -758,23 +760,18 @@
 	case Unconnected:
 		g.suspect(n, "cannot be reached")
 	case Full:
-		fail = 0
 		g.suspect(n, "turns jobs away")
 	case TimedOut:
 		if n.Heard <= e.Sent && g.stall() == 0 { // it was silent all the while, and rests
 			n.TryAt = g.now + Time(float64(took)*(1+g.chance.part()))
 		}
 	}
-	if e.Outcome == Served {
-		fail = 0
-		if g.stall() == 0 {
-			g.timed(n, e, took, w)
-		}
-	}
-	n.Failing += w * (fail - n.Failing)
 	if e.Outcome != Served {
 		return
 	}
+	if g.stall() == 0 {
+		g.timed(n, e, took, w)
+	}
 	n.Units += e.Job.Units
 	if g.cold(n) && !e.Job.Write { // part of a write's work may be put off until after its answer
 		n.Answers = append(n.Answers, Spent{g.now, e.Job.Units})
@@ -921,8 +918,6 @@
 
 // round is the periodic work.
 func (g *Gateway) round() {
-	stalled := g.stall()
-	g.roundAt = g.now + max(g.aim/roundsPerAim, Millisecond)
 	if g.listAt > 0 && g.now >= g.listAt {
 		g.listAt, g.next.Watch = 0, true
 	}
@@ -933,7 +928,7 @@
 	}
 	for _, n := range g.nodes {
 		n.touched = true
-		if n.Execs > 0 && g.now-n.Heard-stalled > g.aim+Time(quietTimes*n.Latency) {
+		if n.Execs > 0 && g.now-n.Heard-g.stall() > g.aim+Time(quietTimes*n.Latency) {
 			g.suspect(n, "answers nothing")
 		}
 		g.mode(&n.Strained, n.Fair < 1, "%s is strained: %%t, fair rate %.0f%%%% of its start", n.Addr, 100*n.Fair)
@@ -943,6 +938,7 @@
 			g.repay(n)
 		}
 	}
+	g.roundAt = g.now + max(g.aim/roundsPerAim, Millisecond)
 }
 
 // overlook looks at a job that has an execution out. At a node that fails some, one that is out for several
