--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,7 +37,7 @@
 	failingShare = 0.05              // and counts as lost at a node that fails more than this share
 	restMost     = 32.0              // the longest rest of a node that needs over the aim, in aims
 	partMemory   = 5 * Second        // over which a gateway's part of a volume's service is counted
-	partFirst    = 8.0               // mean jobs for which the even part counts in it
+	partFirst    = 2.0               // mean jobs for which the even part counts in it
 	baseRise     = 0.02              // weight of an answer slower than a node's best in that best
 	fairWait     = 0.25              // the wait, in aims, that a node's fair rate is steered to
 	fairGain     = 3.0               // and how fast, as a power, for an aim of difference
