--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -527,6 +527,41 @@
 	want(t, w, "after its rest", late.State, Running)
 }
 
+// Guard: silence strains a node before its answer comes, and a whole time-out of silence rests it; a failure after a
+// long time without word weighs more than one among many answers.
+func TestSilenceIsHeardOfASeldomMetNode(t *testing.T) {
+	for _, pause := range []Time{0, 10 * Second} {
+		w := newWorld(1, terms("plans.0.limit=0"))
+		w.list("a0", 0, 0, Ready)
+		for range 20 {
+			w.take(2, "read", 0, 2)
+			w.wait(20 * Millisecond)
+			w.end(w.out[0], Served)
+		}
+		n := w.g.byAddr["a0"]
+		w.wait(pause)
+		w.take(2, "read", 0, 2)
+		w.pass(Millisecond)
+		w.end(w.out[0], Erred)
+		want(t, w, "believed to fail by one error", n.Failing > 0.5, pause > 0)
+		if n.Failing == 0 {
+			t.Error("an error is not noted")
+		}
+		for len(w.out) > 0 {
+			w.end(w.out[0], Served)
+		}
+		n.Fair = 1
+		w.take(2, "read", 0, 2)
+		w.wait(190 * Millisecond)
+		want(t, w, "strained within the aim", n.Fair < 1, false)
+		w.wait(60 * Millisecond)
+		want(t, w, "strained by silence", n.Fair < 1, true)
+		want(t, w, "rests before the time-out", n.TryAt > w.now+300*Millisecond, false)
+		w.wait(360 * Millisecond)
+		want(t, w, "rests after it", n.TryAt > w.now+300*Millisecond, true)
+	}
+}
+
 // Guard: what a gateway finds after it stood still itself does not make a node look slow.
 func TestOwnStallTeachesNothing(t *testing.T) {
 	for _, stalls := range []bool{false, true} {
