--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -480,6 +480,12 @@
 	want(t, w, "part when others are served more", part(60), 0.5)
 	want(t, w, "virtual start after 60 units through others", f.Start, 20.0)
 	want(t, w, "rate of the reserve", f.Volume.Reserve.Rate, 10.0)
+	for _, absurd := range []float64{-1e12, 1e12, 0} { // changes the part within its bounds, and no rule
+		if p := part(absurd); p < 0.5 || p > 1 {
+			t.Errorf("after a report of %g the part is %g", absurd, p)
+		}
+	}
+	want(t, w, "jobs left over", len(w.g.jobs), 0)
 }
 
 // Guard: a node whose answers wait gives a volume beyond its reserve only its part of a fair rate, right in the sum also
