Let a draw hold at one node only, and say again what each guard is for

Found in a last reading: a job that a cold node's store had passed took that draw along to the next cold node, so that the sum over gateways could be passed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,6 +8,7 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -61,6 +62,7 @@
 	reserves, rates, weights := false, 0.0, 0.0
 	for i := range terms.count("plans") {
 		p := terms.plan(i)
+		p.Weight = cmp.Or(max(p.Weight, 0), 1)
 		g.plans[p.Name] = p
 		reserves = reserves || p.Reserve > 0
 		rates, weights = rates+p.Rate, weights+p.Weight
@@ -78,8 +80,7 @@
 		}
 		g.products[p.Name] = p
 	}
-	g.aim = max(g.aim, Millisecond)
-	g.mean = max(terms.number("units.mean"), 1e-3)
+	g.aim, g.mean = max(g.aim, Millisecond), max(terms.number("units.mean"), 1e-3)
 	g.next.Watch = terms["discovery"] == "ask"
 	return g
 }
@@ -103,8 +104,7 @@
 		n.Credits, n.Answers, n.Fair, n.Part, n.TryAt = creditsEach, n.Answers[:0], 1, boundAims, 0
 		n.Warm = Store{At: g.now}
 	}
-	n.Zone, n.Shard = zone, shard
-	n.seen = g.epoch
+	n.Zone, n.Shard, n.seen = zone, shard, g.epoch
 	g.stand(n, standing)
 }
 
@@ -196,8 +196,8 @@
 	return v
 }
 
-// served counts units of a volume served by this gateway and others, and sets this gateway's part of its due:
-// its part of the service, at least the even one. It could hurt while reports are late.
+// served counts a volume's units served here and through others, and sets our part of its due: that of the
+// service, at least the even one. Else each of many gives it the whole. It could hurt while reports are late.
 func (g *Gateway) served(v *Volume, own, others float64) {
 	fade := math.Exp(-float64(g.now-v.ServedAt) / float64(partMemory))
 	v.Own, v.Others, v.ServedAt = v.Own*fade+own, v.Others*fade+others, g.now
@@ -240,7 +240,7 @@
 // hold puts a job among those that wait for a node, a credit, their key or a rest.
 func (g *Gateway) hold(j *Job, rest Time) {
 	g.move(j, Held)
-	j.Node, j.NotTill = nil, g.now+rest
+	j.Node, j.NotTill, j.Spare, j.Cold = nil, g.now+rest, Undrawn, Undrawn // draws hold at one node
 	g.held = append(g.held, j)
 	g.due.set(j, g.lastChance(j))
 }
@@ -491,9 +491,9 @@
 	return n.Known && n.takes(g.mean) < Time(lightAims*float64(g.aim))
 }
 
-// fair tells whether a job beyond the reserve can go. What one of many gateways saw of a node is soon untrue;
-// what lasts is how much it can take beyond reserves. Its fair rate follows the wait of answers; under its
-// start, this gateway's part is dealt out by weight. It could hurt where answers are dear and not late.
+// fair tells whether a job beyond the reserve can go. It guards against many gateways that each send a little
+// too much: what one saw of a node is soon untrue, but how much it takes beyond reserves lasts. Its fair rate
+// follows waits; under its start, our part of it goes by weight. It hurts where answers are dear, not late.
 func (g *Gateway) fair(n *Node, j *Job) bool {
 	if n.Fair >= 1 && !g.heavy(n) {
 		return true
@@ -762,7 +762,7 @@
 	case Full:
 		g.suspect(n, "turns jobs away")
 	case TimedOut:
-		if n.Heard <= e.Sent && g.stall() == 0 { // it was silent all the while, and rests
+		if n.Heard <= e.Sent && g.stall() == 0 { // silent all the while, it hangs or is jammed: it rests
 			n.TryAt = g.now + Time(float64(took)*(1+g.chance.part()))
 		}
 	}
@@ -782,7 +782,7 @@
 	}
 }
 
-// weight is that of one more outcome: the longer since the last, the more.
+// weight is that of one more outcome: the longer since the last, the more; else one of many never learns.
 func (g *Gateway) weight(n *Node) float64 {
 	w := max(gapMemory, 1-math.Exp(-float64(g.now-n.Judged)/(judgeAims*float64(g.aim))))
 	n.Judged = g.now
@@ -815,7 +815,7 @@
 	} else if e.Sent < e.Job.GoalBy {
 		n.Part = max(n.Part*boundMissed, boundLeast)
 	}
-	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 { // it cannot make the goal, and rests
+	if over := float64(n.takes(g.mean))/float64(g.aim) - 1; over > 0 { // one job of each of many floods it
 		n.TryAt = max(n.TryAt, g.now+min(Time(over*float64(took)), Time(restMost*float64(g.aim))))
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -243,6 +243,21 @@
 	want(t, w, "small job", small.State, Queued)
 }
 
+// Guard: a job that a cold node's store has passed draws anew at the next cold node.
+func TestADrawHoldsAtOneNode(t *testing.T) {
+	w := newWorld(1, terms("plans.0.limit=0"))
+	w.list("a0", 0, w.now, Ready)
+	w.g.byAddr["a0"].TryAt = w.now + Second
+	j := w.take(1, "read", 0, 8)
+	w.pass(Millisecond)
+	j.Cold, j.Spare = Passed, Passed
+	w.list("a0", 0, 0, Draining)
+	w.list("a9", 0, w.now, Ready)
+	w.pass(Millisecond)
+	want(t, w, "its node", j.Node.Addr, "a9")
+	want(t, w, "sent to a node that has saved up nothing", j.State, Queued)
+}
+
 // Guard: a cold node gets more only as it answers, and a new start voids what it answered before.
 func TestColdNodeGetsMoreOnlyAsItAnswers(t *testing.T) {
 	w := newWorld(1, terms("plans.0.limit=0"))
--- a/decide/start.go
+++ b/decide/start.go
@@ -24,15 +24,11 @@
 // item names a value of a list's item.
 func item(list string, n int, name string) string { return list + "." + strconv.Itoa(n) + "." + name }
 
-// plan reads a plan; a weight that is absent counts as one.
+// plan reads a plan.
 func (t Terms) plan(i int) *Plan {
 	number := func(name string) float64 { return t.number(item("plans", i, name)) }
-	p := &Plan{Name: t[item("plans", i, "name")], Weight: number("weight"), Rate: number("rate"),
+	return &Plan{Name: t[item("plans", i, "name")], Weight: number("weight"), Rate: number("rate"),
 		Reserve: number("reserve"), Limit: number("limit"), Burst: number("burst")}
-	if p.Weight <= 0 {
-		p.Weight = 1
-	}
-	return p
 }
 
 // product reads a product.
--- a/decide/types.go
+++ b/decide/types.go
@@ -103,10 +103,10 @@
 	Plan        *Plan
 	Hosts       float64 // gateways that its jobs come through
 	Reserve     Store   // this gateway's part of what is due to it in full
-	Part        float64
+	Part        float64 // this gateway's part of what is due to it
 	Own, Others float64 // units served through this gateway and through others, fading
-	ServedAt    Time
-	Limit       Store // this gateway's part of its limit
+	ServedAt    Time    // when they were last counted
+	Limit       Store   // this gateway's part of its limit
 }
 
 // Draw is what became of a job at a store that is too small for it.
@@ -166,8 +166,8 @@
 	Credit                *Node // the node that lent it a credit for a new object
 	Paid                  bool  // its units were taken from its volume's limit
 	Line                  *Line // the jobs of its key, where the product keeps order
-	Reserved, Spare, Cold Draw
-	Answered              bool
+	Reserved, Spare, Cold Draw  // at its volume's reserve, at the node's fair rate, at a cold node
+	Answered              bool  // covered by what a cold node has answered, with no draw
 	due                   Time
 	place                 int // in the due heap, counted from 1
 }
@@ -210,7 +210,7 @@
 	Gap            Time    // its average send gap
 	Sent, Answered Time    // the last of each
 	Out            int
-	Due            Store
+	Due            Store // this gateway's part of the fair rate beyond the reserve
 }
 
 // drop takes a job out of the queue.
@@ -248,8 +248,8 @@
 	Spread    float64
 	Slope     float64
 	Failing   float64 // share of executions that failed, lately
-	Warm      Store
-	Fair      float64
+	Warm      Store   // this gateway's part of what the node bears while cold
+	Fair      float64 // the rate beyond reserves, as a part of its start
 	Base      float64 // time of a mean job at its best
 	Judged    Time    // and when that was last seen
 	Suspect   bool
