--- /dev/null
+++ b/internal/front/record.go
@@ -0,0 +1,338 @@
+package front
+
+import (
+	"cmp"
+	"slices"
+
+	"irispost/internal/gateway"
+	"irispost/internal/layout"
+	"irispost/internal/node"
+	"irispost/internal/sftp"
+)
+
+// tries is how often a change of a record is put on top of others' changes before its client is told to come back.
+const tries = 8
+
+// look reads a record. A record with Version 0 is absent. One that is moving has its move brought to an end first.
+func (t *task) look(v *Volume, p layout.Path) (*layout.Record, *failure) {
+	for range tries {
+		r, err := t.glance(v, p)
+		if err != nil || r.State != layout.Moving {
+			return r, err
+		}
+		if err := t.finishMove(v, p, r); err != nil {
+			return nil, err
+		}
+	}
+	return nil, dismissal(0, "the file keeps moving")
+}
+
+// glance reads a record as it stands.
+func (t *task) glance(v *Volume, p layout.Path) (*layout.Record, *failure) {
+	a, err := t.do(v, v.product(Look, p, 0), t.front.opt.Units.Of(0), 0,
+		node.Call{Op: node.Look, Name: p.String(), Shard: p.Home(t.front.opt.Shards)})
+	if err != nil {
+		return nil, err
+	}
+	return decode(p, a)
+}
+
+func decode(p layout.Path, a node.Answer) (*layout.Record, *failure) {
+	if a.Version == 0 {
+		return &layout.Record{}, nil
+	}
+	r, err := layout.Decode(a.Data, a.Version)
+	if err != nil {
+		return nil, failed(sftp.Failure, "%s: %v", p, err)
+	}
+	return r, nil
+}
+
+// swap changes a record from the version that was seen to another, or removes it (to is nil). It returns the record
+// as it stands afterwards, and whether it is ours.
+func (t *task) swap(v *Volume, p layout.Path, seen uint64, to *layout.Record, mark string) (*layout.Record, bool, *failure) {
+	call := node.Call{Op: node.Swap, Name: p.String(), Shard: p.Home(t.front.opt.Shards), Version: seen, Mark: mark}
+	if to != nil {
+		to.Mark = mark
+		call.Data = to.Encode()
+	}
+	a, err := t.do(v, v.product(Change, p, 0), t.front.opt.Units.Of(len(call.Data)), 0, call)
+	if err != nil {
+		return nil, false, err
+	}
+	if a.Code == node.Conflict {
+		now, err := decode(p, a)
+		return now, err == nil && to != nil && now.Version > 0 && now.Mark == mark, err
+	}
+	if to == nil {
+		return &layout.Record{}, true, nil
+	}
+	done := *to
+	done.Version = a.Version
+	return &done, true, nil
+}
+
+// inFolder looks whether something can be made in the folder that p lies in.
+func (t *task) inFolder(v *Volume, p layout.Path) *failure {
+	dir := p.Parent()
+	if dir.Rel == "" {
+		return nil
+	}
+	r, err := t.glance(v, dir)
+	switch {
+	case err != nil:
+		return err
+	case r.Version == 0:
+		return failed(sftp.NoSuchFile, "there is no folder %s", dir)
+	case r.Kind != layout.Folder:
+		return failed(sftp.Failure, "%s is no folder", dir)
+	case r.State != layout.Live:
+		return dismissal(0, "the folder is being removed")
+	}
+	return nil
+}
+
+// make makes a record where there is none. The folder is looked at before and after: a folder that is being removed
+// is listed only after it was marked, so one of both sees the other.
+func (t *task) make(v *Volume, p layout.Path, r *layout.Record) (*layout.Record, bool, *failure) {
+	if err := t.inFolder(v, p); err != nil {
+		return nil, false, err
+	}
+	mark := t.front.mark()
+	now, ours, err := t.swap(v, p, 0, r, mark)
+	if err != nil || !ours || p.Parent().Rel == "" {
+		return now, ours, err
+	}
+	if gone := t.inFolder(v, p); gone != nil {
+		if gone.code == sftp.Failure && r.Kind == layout.File && len(r.Objects()) > 0 {
+			return now, true, nil // it cannot be told: it stays
+		}
+		t.swap(v, p, now.Version, nil, t.front.mark())
+		return nil, false, gone
+	}
+	return now, true, nil
+}
+
+// remove removes a file.
+func (t *task) remove(v *Volume, p layout.Path) *failure {
+	for range tries {
+		r, err := t.look(v, p)
+		switch {
+		case err != nil:
+			return err
+		case r.Version == 0:
+			return failed(sftp.NoSuchFile, "there is no %s", p)
+		case r.Kind == layout.Folder:
+			return failed(sftp.Failure, "%s is a folder", p)
+		}
+		_, ours, err := t.swap(v, p, r.Version, nil, t.front.mark())
+		if err != nil {
+			return err
+		}
+		if ours {
+			t.front.drop(v, p, r.Objects())
+			return nil
+		}
+	}
+	return dismissal(0, "the file is changed by others all the time")
+}
+
+// drop removes objects that nothing refers to any more. No client waits for it; what stays is found by the sweep.
+func (f *Front) drop(v *Volume, p layout.Path, extents []layout.Extent) {
+	if len(extents) == 0 {
+		return
+	}
+	f.busy.Add(1)
+	go func() {
+		defer f.busy.Done()
+		t := f.duty()
+		for _, e := range extents {
+			t.do(v, v.product(Write, p, 0), f.opt.Units.Of(0), keyOf(e.Object),
+				node.Call{Op: node.Drop, Name: e.Object, Shard: e.Shard})
+		}
+	}()
+}
+
+// mkdir makes a folder.
+func (t *task) mkdir(v *Volume, p layout.Path, mode uint32) *failure {
+	if p.Rel == "" {
+		return failed(sftp.Failure, "%s is a volume", p)
+	}
+	_, ours, err := t.make(v, p, &layout.Record{Kind: layout.Folder, Mode: mode, Modified: t.arrived})
+	if err == nil && !ours {
+		return failed(sftp.Failure, "%s exists", p)
+	}
+	return err
+}
+
+// rmdir removes an empty folder: it is marked, then listed, then removed.
+func (t *task) rmdir(v *Volume, p layout.Path) *failure {
+	if p.Rel == "" {
+		return failed(sftp.Failure, "%s is a volume", p)
+	}
+	r, err := t.glance(v, p)
+	switch {
+	case err != nil:
+		return err
+	case r.Version == 0:
+		return failed(sftp.NoSuchFile, "there is no %s", p)
+	case r.Kind != layout.Folder:
+		return failed(sftp.Failure, "%s is no folder", p)
+	}
+	closing := *r
+	closing.State = layout.Closing
+	marked, ours, err := t.swap(v, p, r.Version, &closing, t.front.mark())
+	if err != nil {
+		return err
+	}
+	if !ours {
+		return dismissal(0, "the folder is changed by others")
+	}
+	items, err := t.list(v, p, 1)
+	if err == nil && len(items) == 0 {
+		_, ours, err = t.swap(v, p, marked.Version, nil, t.front.mark())
+		if err == nil && !ours {
+			err = dismissal(0, "the folder is changed by others")
+		}
+		return err
+	}
+	back := *marked
+	back.State = layout.Live
+	t.swap(v, p, marked.Version, &back, t.front.mark())
+	if err == nil {
+		err = failed(sftp.Failure, "%s is not empty", p)
+	}
+	return err
+}
+
+// item is one name of a folder.
+type item struct {
+	name   string
+	record *layout.Record
+}
+
+// list reads a folder: all shards are asked, since each holds the records that hash to it. One that does not answer
+// fails the whole, as a listing with names missing would be believed.
+func (t *task) list(v *Volume, p layout.Path, most int) ([]item, *failure) {
+	type page struct {
+		answer node.Answer
+		err    *failure
+	}
+	var items []item
+	after := make([]string, t.front.opt.Shards)
+	open := make([]bool, t.front.opt.Shards)
+	for i := range open {
+		open[i] = true
+	}
+	for slices.Contains(open, true) {
+		var waits []<-chan gateway.Result
+		var shards []int
+		for shard := range open {
+			if open[shard] {
+				shards = append(shards, shard)
+				waits = append(waits, t.start(v, v.product(Look, p, 0), t.front.opt.Units.Of(0), 0,
+					node.Call{Op: node.List, Name: p.String(), Owner: after[shard], Shard: shard, Length: uint32(min(most, 512))}))
+			}
+		}
+		pages := make([]page, len(waits))
+		for i, w := range waits {
+			pages[i].answer, pages[i].err = t.finish(<-w, node.List)
+		}
+		for i, pg := range pages {
+			if pg.err != nil {
+				return nil, pg.err
+			}
+			list, err := node.GetItems(pg.answer.Data)
+			if err != nil {
+				return nil, failed(sftp.Failure, "listing of shard %d: %v", shards[i], err)
+			}
+			for _, it := range list {
+				r, err := layout.Decode(it.Data, it.Version)
+				if err != nil {
+					return nil, failed(sftp.Failure, "%s: %v", it.Name, err)
+				}
+				entry, perr := layout.Parse(it.Name)
+				if perr != nil {
+					return nil, failed(sftp.Failure, "shard %d holds a record named %q", shards[i], it.Name)
+				}
+				items = append(items, item{entry.Name(), r})
+				after[shards[i]] = it.Name
+			}
+			open[shards[i]] = len(list) == 512
+		}
+		if len(items) >= most {
+			break
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.name, b.name) })
+	return items[:min(len(items), most)], nil
+}
+
+// rename moves a file. The record at its old place is marked with where it goes, then made at the new place, then
+// removed at the old one. Whoever meets the mark brings the move to its end, so a gateway that dies leaves none.
+func (t *task) rename(v *Volume, from, to layout.Path, replace bool) *failure {
+	if from.Volume != to.Volume {
+		return failed(sftp.OpUnsupported, "files do not move between volumes")
+	}
+	r, err := t.look(v, from)
+	switch {
+	case err != nil:
+		return err
+	case r.Version == 0:
+		return failed(sftp.NoSuchFile, "there is no %s", from)
+	case r.Kind == layout.Folder:
+		return failed(sftp.OpUnsupported, "folders cannot be renamed")
+	case from == to:
+		return nil
+	}
+	if err := t.inFolder(v, to); err != nil {
+		return err
+	}
+	there, err := t.look(v, to)
+	switch {
+	case err != nil:
+		return err
+	case there.Version > 0 && (!replace || there.Kind == layout.Folder):
+		return failed(sftp.Failure, "%s exists", to)
+	}
+	moving := *r
+	moving.State, moving.Target, moving.Expected = layout.Moving, to.String(), there.Version
+	marked, ours, err := t.swap(v, from, r.Version, &moving, t.front.mark())
+	if err != nil {
+		return err
+	}
+	if !ours {
+		return dismissal(0, "the file is changed by others")
+	}
+	if err := t.finishMove(v, from, marked); err != nil {
+		return err
+	}
+	if now, err := t.glance(v, from); err == nil && now.Version > 0 && now.State == layout.Live && now.Size == r.Size &&
+		slices.Equal(now.Extents, r.Extents) && now.Version == marked.Version+1 {
+		return dismissal(0, "something else has taken the new name")
+	}
+	t.front.drop(v, to, there.Objects())
+	return nil
+}
+
+// finishMove brings a move to its end: forward if the new place is as it was, else back.
+func (t *task) finishMove(v *Volume, from layout.Path, moving *layout.Record) *failure {
+	to, perr := layout.Parse(moving.Target)
+	if perr != nil {
+		return failed(sftp.Failure, "%s moves to %q", from, moving.Target)
+	}
+	arrived := *moving
+	arrived.State, arrived.Target, arrived.Expected, arrived.Origin = layout.Live, "", 0, moving.Mark
+	there, ours, err := t.swap(v, to, moving.Expected, &arrived, t.front.mark())
+	if err != nil {
+		return err
+	}
+	if ours || there.Version > 0 && there.Origin == moving.Mark {
+		_, _, err = t.swap(v, from, moving.Version, nil, t.front.mark()) // if it is gone, another has done it
+		return err
+	}
+	back := *moving
+	back.State, back.Target, back.Expected = layout.Live, "", 0
+	_, _, err = t.swap(v, from, moving.Version, &back, t.front.mark())
+	return err
+}
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,412 @@
+// Package gateway runs one decision module in real time. One goroutine, the loop, owns the module and the clock: it
+// takes events from a bounded queue, tells the module of them, and carries out what the module decides. It decides
+// nothing itself.
+package gateway
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"irispost/decide"
+	"irispost/internal/listing"
+	"irispost/internal/node"
+)
+
+// Volume is what the module is told of a job's volume.
+type Volume struct {
+	ID    int64
+	Plan  string
+	Hosts float64 // gateways that its jobs come through
+}
+
+// Work is a job before the module has it.
+type Work struct {
+	Volume  *Volume
+	Product string
+	Units   float64
+	Key     int64
+	Keyed   bool
+	StopBy  decide.Time // the client waits until then
+	Request uint32      // the client's request that it belongs to
+	Kind    uint8       // as in node.Call
+	Call    node.Call   // what to do at the node; the loop fills in whose it is and the time left
+}
+
+// Result is a job's one final answer.
+type Result struct {
+	State  decide.JobState // Completed, Dismissed, WrittenOff or Withdrawn
+	Wait   time.Duration   // of a dismissal: when to come back
+	Answer node.Answer     // of a completed job
+	Why    string          // the last execution's trouble, of a job that was given up
+}
+
+// Session is a client's connection, as far as the loop is concerned: when it closes, its jobs are left.
+type Session struct {
+	Name string
+	jobs map[*job]bool // the loop's
+	gone bool          // the loop's
+}
+
+// NewSession names a session. The name has to be unique in the installation.
+func NewSession(name string) *Session { return &Session{Name: name, jobs: map[*job]bool{}} }
+
+// Options are what a loop is started with.
+type Options struct {
+	Name  string
+	Seed  uint64
+	Terms decide.Terms
+	Queue int // events that may wait
+	Clock Clock
+	Nodes *node.Client
+	Log   *slog.Logger
+}
+
+// job is a job of the module's, with what the loop holds for it.
+type job struct {
+	work    *Work
+	session *Session // nil for the gateway's own duties
+	decided *decide.Job
+	done    chan Result
+	over    bool // its final answer has been given
+	why     string
+	execs   []*exec
+}
+
+// exec is an execution with its connection.
+type exec struct {
+	job     *job
+	decided *decide.Execution
+	sent    *node.Sent
+	due     decide.Time // it has timed out then
+	place   int         // in the heap of due times, counted from 1; 0: over
+}
+
+// event is something that has happened; it is told on the loop.
+type event func(now decide.Time)
+
+// Loop is a running gateway.
+type Loop struct {
+	opt     Options
+	module  module
+	events  chan event
+	again   []event // that follow from what was just carried out
+	jobs    map[*decide.Job]*job
+	count   int64
+	due     dueExecs
+	figures Figures
+	quit    chan struct{}
+	gate    sync.RWMutex // held for reading while an event is handed in, so that the end misses none
+	ended   chan struct{}
+	once    sync.Once
+}
+
+// Start starts a loop.
+func Start(opt Options) *Loop {
+	l := &Loop{opt: opt, events: make(chan event, max(opt.Queue, 1)), jobs: map[*decide.Job]*job{},
+		quit: make(chan struct{}), ended: make(chan struct{}), figures: Figures{Products: map[string]*Counts{}}}
+	l.module.start(opt.Clock.Now(), opt.Seed, opt.Terms)
+	go l.run()
+	return l
+}
+
+// Now is the gateway's time.
+func (l *Loop) Now() decide.Time { return l.opt.Clock.Now() }
+
+// post hands in an event. It waits while the queue is full, so whoever reads a socket stops reading; false tells that
+// the loop has ended.
+func (l *Loop) post(e event) bool {
+	l.gate.RLock()
+	defer l.gate.RUnlock()
+	select {
+	case <-l.quit:
+		return false
+	default:
+	}
+	select {
+	case l.events <- e:
+		return true
+	case <-l.quit:
+		return false
+	}
+}
+
+// Do hands in a job. Its result comes on the channel, exactly once.
+func (l *Loop) Do(s *Session, w *Work) <-chan Result {
+	j := &job{work: w, session: s, done: make(chan Result, 1)}
+	if !l.post(func(now decide.Time) { l.take(now, j) }) {
+		j.done <- Result{State: decide.WrittenOff, Why: "the gateway has ended"}
+	}
+	return j.done
+}
+
+// Left tells that a session's client has gone.
+func (l *Loop) Left(s *Session) {
+	l.post(func(now decide.Time) {
+		s.gone = true
+		left := make([]*job, 0, len(s.jobs))
+		for j := range s.jobs {
+			left = append(left, j)
+		}
+		sortJobs(left)
+		for _, j := range left {
+			l.module.left(now, j.decided)
+			l.finish(j, Result{State: decide.Withdrawn})
+		}
+	})
+}
+
+// List tells of a list of nodes.
+func (l *Loop) List(list listing.List) {
+	l.post(func(now decide.Time) {
+		l.module.listed(now, list)
+		keep := map[string]bool{}
+		for _, n := range list.Nodes {
+			if n.Standing != listing.Gone {
+				keep[n.Addr] = true
+			}
+		}
+		go l.opt.Nodes.Keep(keep)
+	})
+}
+
+// Stop ends the loop. What it still holds is written off.
+func (l *Loop) Stop() {
+	l.once.Do(func() { close(l.quit) })
+	<-l.ended
+}
+
+func (l *Loop) run() {
+	defer close(l.ended)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	last := decide.Time(0)
+	for {
+		var first event
+		select {
+		case first = <-l.events:
+		case <-timer.C:
+		case <-l.quit:
+			l.end()
+			return
+		}
+		now := max(l.opt.Clock.Now(), last)
+		last = now
+		if first != nil {
+			first(now)
+		}
+		for n := len(l.events); n > 0; n-- {
+			(<-l.events)(now)
+		}
+		next := l.turn(now)
+		if !timer.Stop() {
+			select {
+			case <-timer.C:
+			default:
+			}
+		}
+		timer.Reset(time.Duration(max(next-l.opt.Clock.Now(), 0)))
+	}
+}
+
+// turn tells of time-outs, asks for the decision and carries it out, until nothing follows from it. It returns when
+// the next turn is due.
+func (l *Loop) turn(now decide.Time) decide.Time {
+	for {
+		for len(l.due) > 0 && l.due[0].due <= now {
+			e := l.due[0]
+			e.sent.CallOff()
+			l.outcome(now, e, decide.TimedOut, node.Answer{Text: "no answer in time"})
+		}
+		for len(l.again) > 0 {
+			list := l.again
+			l.again = nil
+			for _, e := range list {
+				e(now)
+			}
+		}
+		d := l.module.decide(now)
+		l.carryOut(now, d)
+		if len(l.again) == 0 {
+			next := d.NextWake
+			if len(l.due) > 0 {
+				next = min(next, l.due[0].due)
+			}
+			return next
+		}
+	}
+}
+
+// take tells the module of a job.
+func (l *Loop) take(now decide.Time, j *job) {
+	w := j.work
+	l.figures.of(w.Product).Taken++
+	if j.session != nil {
+		if j.session.gone {
+			l.figures.of(w.Product).count(decide.Withdrawn)
+			j.done <- Result{State: decide.Withdrawn}
+			return
+		}
+		j.session.jobs[j] = true
+	}
+	l.count++
+	name := l.opt.Name
+	if j.session != nil {
+		name = j.session.Name + ":" + strconv.FormatUint(uint64(w.Request), 10)
+	}
+	j.decided = &decide.Job{ID: name + "#" + strconv.FormatInt(l.count, 10), Units: w.Units, Shard: w.Call.Shard,
+		Key: w.Key, Write: w.Call.Op.Writes(), StopBy: w.StopBy}
+	l.jobs[j.decided] = j
+	l.module.take(now, j.decided, w)
+}
+
+// carryOut does what the module decided.
+func (l *Loop) carryOut(now decide.Time, d *decide.Decision) {
+	for _, line := range d.Log {
+		l.opt.Log.Info(line, "gateway", l.opt.Name)
+	}
+	for _, dj := range d.Ended {
+		if j := l.jobs[dj]; j != nil {
+			l.finish(j, Result{State: dj.State, Wait: time.Duration(dj.Wait), Why: j.why})
+		}
+	}
+	for _, de := range d.CallOff {
+		if e := l.execOf(de); e != nil && e.place > 0 {
+			e.sent.CallOff()
+			l.again = append(l.again, func(now decide.Time) { l.outcome(now, e, decide.CalledOff, node.Answer{}) })
+		}
+	}
+	for _, de := range d.Start {
+		l.start(now, de)
+	}
+}
+
+func (l *Loop) execOf(de *decide.Execution) *exec {
+	if j := l.jobs[de.Job]; j != nil && de.Number < len(j.execs) {
+		return j.execs[de.Number]
+	}
+	return nil
+}
+
+// start sends an execution to its node.
+func (l *Loop) start(now decide.Time, de *decide.Execution) {
+	j := l.jobs[de.Job]
+	e := &exec{job: j, decided: de, due: j.work.StopBy}
+	if de.Limit > 0 {
+		e.due = min(e.due, now+de.Limit)
+	}
+	j.execs = append(j.execs, e)
+	c := j.work.Call
+	c.Gateway, c.Job, c.Number, c.Volume, c.Units = l.opt.Name, de.Job.ID, de.Number, j.work.Volume.ID, j.work.Units
+	c.Left, c.Kind = time.Duration(e.due-now), j.work.Kind
+	if j.work.Keyed {
+		c.Key = j.work.Key
+	}
+	if c.Mark == "" {
+		c.Mark = de.Job.ID
+	}
+	heap.Push(&l.due, e)
+	e.sent = l.opt.Nodes.Start(de.Node.Addr, &c, func(a node.Answer) {
+		l.post(func(now decide.Time) { l.outcome(now, e, outcomes[a.Outcome], a) })
+	})
+}
+
+// outcome tells the module how an execution ended. One that is over already is let be.
+func (l *Loop) outcome(now decide.Time, e *exec, o decide.Outcome, a node.Answer) {
+	if e.place == 0 {
+		return
+	}
+	heap.Remove(&l.due, e.place-1)
+	j := e.job
+	if o != decide.Served && o != decide.CalledOff {
+		j.why = a.Text
+	}
+	served := o == decide.Served && !j.over
+	l.module.ended(now, e.decided, o, served || j.over, a.Others)
+	if served {
+		l.finish(j, Result{State: decide.Completed, Answer: a})
+	}
+	l.forget(j)
+}
+
+// finish gives a job its final answer.
+func (l *Loop) finish(j *job, r Result) {
+	if j.over {
+		return
+	}
+	j.over = true
+	l.figures.of(j.work.Product).count(r.State)
+	if j.session != nil {
+		delete(j.session.jobs, j)
+	}
+	j.done <- r
+	l.forget(j)
+}
+
+// forget drops a job that has its answer and no execution out.
+func (l *Loop) forget(j *job) {
+	if !j.over {
+		return
+	}
+	for _, e := range j.execs {
+		if e.place > 0 {
+			return
+		}
+	}
+	delete(l.jobs, j.decided)
+}
+
+// end writes off what is held.
+func (l *Loop) end() {
+	l.gate.Lock()
+	defer l.gate.Unlock()
+	for {
+		select {
+		case e := <-l.events: // what was handed in gets its answer too
+			e(l.opt.Clock.Now())
+			continue
+		default:
+		}
+		break
+	}
+	for _, j := range l.jobs {
+		l.finish(j, Result{State: decide.WrittenOff, Why: "the gateway ends"})
+	}
+}
+
+// dueExecs orders executions by the time when they have timed out, ties by their jobs and numbers.
+type dueExecs []*exec
+
+func (d dueExecs) Len() int { return len(d) }
+func (d dueExecs) Less(a, b int) bool {
+	if d[a].due != d[b].due {
+		return d[a].due < d[b].due
+	}
+	x, y := d[a].decided, d[b].decided
+	return x.Job.ID < y.Job.ID || x.Job.ID == y.Job.ID && x.Number < y.Number
+}
+func (d dueExecs) Swap(a, b int) {
+	d[a], d[b] = d[b], d[a]
+	d[a].place, d[b].place = a+1, b+1
+}
+func (d *dueExecs) Push(x any) {
+	e := x.(*exec)
+	*d = append(*d, e)
+	e.place = len(*d)
+}
+func (d *dueExecs) Pop() any {
+	last := len(*d) - 1
+	e := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	e.place = 0
+	return e
+}
+
+// String names a result for people.
+func (r Result) String() string {
+	return fmt.Sprintf("%s after %q, wait %v", StateName(r.State), r.Why, r.Wait)
+}
--- /dev/null
+++ b/internal/listing/file.go
@@ -0,0 +1,147 @@
+package listing
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fsnotify/fsnotify"
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+)
+
+// fileForm is a list in our own form.
+type fileForm struct {
+	Nodes []nodeForm `hcl:"node,block"`
+}
+
+type nodeForm struct {
+	Addr     string    `hcl:"addr,label"`
+	Shard    int       `hcl:"shard"`
+	Zone     string    `hcl:"zone,optional"`
+	Weight   float64   `hcl:"weight,optional"`
+	Born     string    `hcl:"born,optional"`
+	Standing string    `hcl:"standing,optional"`
+	Range    hcl.Range `hcl:",def_range"`
+}
+
+// Parse reads a list in our own form. What it refuses it names with file, line and column.
+func Parse(file string, src []byte) (List, error) {
+	f, diags := hclparse.NewParser().ParseHCL(src, file)
+	if diags.HasErrors() {
+		return List{}, diags
+	}
+	var form fileForm
+	if diags := gohcl.DecodeBody(f.Body, nil, &form); diags.HasErrors() {
+		return List{}, diags
+	}
+	list := List{Version: strconv.FormatUint(xxhash.Sum64(src), 16)}
+	seen := map[string]hcl.Range{}
+	refuse := func(n nodeForm, format string, args ...any) (List, error) {
+		return List{}, fmt.Errorf("%s: node %q: %s", n.Range, n.Addr, fmt.Sprintf(format, args...))
+	}
+	for _, n := range form.Nodes {
+		if at, twice := seen[n.Addr]; twice {
+			return refuse(n, "is listed already at %s", at)
+		}
+		seen[n.Addr] = n.Range
+		if n.Shard < 0 {
+			return refuse(n, "shard %d: shards are counted from 0", n.Shard)
+		}
+		out := Node{Addr: n.Addr, Zone: n.Zone, Shard: n.Shard, Weight: n.Weight}
+		switch n.Standing {
+		case "", "ready":
+		case "draining":
+			out.Standing = Draining
+		case "gone":
+			out.Standing = Gone
+		default:
+			return refuse(n, "standing %q: it is \"ready\", \"draining\" or \"gone\"", n.Standing)
+		}
+		if n.Born != "" {
+			at, err := time.Parse(time.RFC3339Nano, n.Born)
+			if err != nil {
+				return refuse(n, "born %q: a time such as 2026-01-02T15:04:05Z is expected", n.Born)
+			}
+			out.Born = at.UnixNano()
+		}
+		list.Nodes = append(list.Nodes, out)
+	}
+	return list, nil
+}
+
+// File is a list that is read from a file, and read anew when that changes.
+type File struct{ Path string }
+
+// Run reads the file and watches its folder, so that a file put in place of the old one is noticed as well.
+func (f File) Run(ctx context.Context, good func(List), bad func(error)) error {
+	watcher, err := fsnotify.NewWatcher()
+	if err != nil {
+		return err
+	}
+	defer watcher.Close()
+	if err := watcher.Add(filepath.Dir(f.Path)); err != nil {
+		return err
+	}
+	last := ""
+	read := func() {
+		src, err := os.ReadFile(f.Path)
+		if err != nil {
+			bad(err)
+			return
+		}
+		sum := strconv.FormatUint(xxhash.Sum64(src), 16)
+		if sum == last {
+			return
+		}
+		last = sum
+		list, err := Parse(f.Path, src)
+		if err != nil {
+			bad(err)
+			return
+		}
+		good(list)
+	}
+	read()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e, ok := <-watcher.Events:
+			if !ok {
+				return nil
+			}
+			if filepath.Clean(e.Name) == filepath.Clean(f.Path) {
+				read()
+			}
+		case err, ok := <-watcher.Errors:
+			if !ok {
+				return nil
+			}
+			bad(err) // events may have been lost
+			read()
+		}
+	}
+}
+
+// Write writes a list in our own form.
+func Write(list List) []byte {
+	words := map[Standing]string{Ready: "ready", Draining: "draining", Gone: "gone"}
+	var out []byte
+	for _, n := range list.Nodes {
+		out = fmt.Appendf(out, "node %q {\n  shard    = %d\n  zone     = %q\n  standing = %q\n", n.Addr, n.Shard, n.Zone, words[n.Standing])
+		if n.Weight > 0 {
+			out = fmt.Appendf(out, "  weight   = %v\n", n.Weight)
+		}
+		if n.Born > 0 {
+			out = fmt.Appendf(out, "  born     = %q\n", time.Unix(0, n.Born).UTC().Format(time.RFC3339Nano))
+		}
+		out = append(out, "}\n"...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/client.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"irispost/internal/sftp"
+)
+
+// Client holds a gateway's connections to its nodes.
+type Client struct {
+	bounds  sftp.Bounds
+	connect time.Duration // longest wait for a connection
+	each    int           // connections to a node
+	log     *slog.Logger
+	lock    sync.Mutex
+	links   map[string][]*link
+	turn    uint
+	closed  bool
+	late    atomic.Int64
+}
+
+// NewClient makes a client that waits so long for a connection, and has so many to a node.
+func NewClient(connect time.Duration, each int, b sftp.Bounds, log *slog.Logger) *Client {
+	return &Client{bounds: b, connect: connect, each: max(each, 1), log: log, links: map[string][]*link{}}
+}
+
+// Late counts the answers that came after their execution was given up, and were dropped.
+func (c *Client) Late() int64 { return c.late.Load() }
+
+// linkState is where a connection to a node stands. Only link.move changes it.
+type linkState uint8
+
+const (
+	dialling linkState = iota
+	greeting           // connected, the node's VERSION is awaited
+	open
+	ended
+)
+
+// link is one connection to a node.
+type link struct {
+	client *Client
+	addr   string
+	lock   sync.Mutex
+	state  linkState
+	conn   *sftp.Conn
+	next   uint32
+	out    map[uint32]*Sent
+	wait   []*Sent // until the link is open
+}
+
+// Sent is an execution that is out.
+type Sent struct {
+	link *link
+	call *Call
+	id   uint32
+	done func(Answer)
+	over bool
+}
+
+// Start sends an execution. done is called once, from elsewhere, unless Forget or CallOff comes first.
+func (c *Client) Start(addr string, call *Call, done func(Answer)) *Sent {
+	s := &Sent{call: call, done: done}
+	c.lock.Lock()
+	list := c.links[addr]
+	c.turn++
+	var l *link
+	if len(list) < c.each && !c.closed {
+		l = &link{client: c, addr: addr, out: map[uint32]*Sent{}}
+		c.links[addr] = append(list, l)
+		go l.dial()
+	} else if len(list) > 0 {
+		l = list[c.turn%uint(len(list))]
+	}
+	c.lock.Unlock()
+	if l == nil || !l.start(s) {
+		go done(Answer{Outcome: Unconnected, Text: "the connection has just ended"})
+	}
+	return s
+}
+
+// start queues or sends; false tells that the link has ended.
+func (l *link) start(s *Sent) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	s.link = l
+	switch l.state {
+	case ended:
+		return false
+	case open:
+		l.send(s)
+	default:
+		l.wait = append(l.wait, s)
+	}
+	return true
+}
+
+// send writes an execution; the lock is held.
+func (l *link) send(s *Sent) {
+	l.next++
+	s.id = l.next
+	l.out[s.id] = s
+	l.conn.Send(s.call.Packet(s.id)) // a connection that is closed has its executions ended by Closed
+}
+
+// Forget ends the wait for an execution: its answer will be dropped.
+func (s *Sent) Forget() { s.drop(false) }
+
+// CallOff ends the wait and asks the node to drop the execution, if it has not begun it.
+func (s *Sent) CallOff() { s.drop(true) }
+
+func (s *Sent) drop(tell bool) {
+	if s.link == nil {
+		return
+	}
+	l := s.link
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if s.over {
+		return
+	}
+	s.over = true
+	if s.id == 0 {
+		return // not sent yet: move looks at over
+	}
+	if delete(l.out, s.id); tell {
+		l.next++
+		l.conn.Send(Cancel(l.next, s.id))
+	}
+}
+
+// move changes the link's state, and returns whose wait ends by it.
+func (l *link) move(to linkState) (failed []*Sent) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if l.state == ended {
+		return nil
+	}
+	l.state = to
+	switch to {
+	case open:
+		for _, s := range l.wait {
+			if !s.over {
+				l.send(s)
+			}
+		}
+		l.wait = nil
+	case ended:
+		for _, s := range l.wait {
+			if !s.over {
+				s.over = true
+				failed = append(failed, s)
+			}
+		}
+		for _, s := range l.out {
+			s.over = true
+			failed = append(failed, s)
+		}
+		l.wait, l.out = nil, map[uint32]*Sent{}
+	}
+	return failed
+}
+
+// end takes the link away and ends what waits on it.
+func (l *link) end(why error) {
+	c := l.client
+	c.lock.Lock()
+	for i, o := range c.links[l.addr] {
+		if o == l {
+			c.links[l.addr] = append(append([]*link(nil), c.links[l.addr][:i]...), c.links[l.addr][i+1:]...)
+			break
+		}
+	}
+	c.lock.Unlock()
+	for _, s := range l.move(ended) {
+		a := Answer{Outcome: Unconnected, Text: why.Error()}
+		if s.id > 0 {
+			a.Outcome = Reset
+		}
+		s.done(a)
+	}
+}
+
+// dial connects and greets.
+func (l *link) dial() {
+	conn, err := sftp.Dial(l.addr, l.client.bounds, l.client.connect, func(c *sftp.Conn) sftp.Peer {
+		l.lock.Lock()
+		l.conn = c
+		l.lock.Unlock()
+		return l
+	})
+	if err != nil {
+		l.end(err)
+		return
+	}
+	l.move(greeting)
+	conn.Send(sftp.New(sftp.Init, sftp.ProtocolVersion))
+	time.AfterFunc(l.client.connect, func() {
+		l.lock.Lock()
+		silent := l.state == greeting
+		l.lock.Unlock()
+		if silent {
+			conn.Close(errors.New("the node does not greet"))
+		}
+	})
+}
+
+// Packet takes in a packet of the node's.
+func (l *link) Packet(f sftp.Frame) error {
+	switch f.Type {
+	case sftp.Version:
+		_, r := f.ID()
+		for r.More() {
+			if name := r.Text(); name == ExecExtension {
+				l.move(open)
+				return nil
+			}
+			r.Text()
+		}
+		return fmt.Errorf("%s does not offer %s", l.addr, ExecExtension)
+	case sftp.ExtendedReply:
+		id, r := f.ID()
+		a, err := ReadAnswer(r)
+		if err != nil {
+			return fmt.Errorf("answer of %s: %w", l.addr, err)
+		}
+		l.answer(id, a)
+		return nil
+	case sftp.Status: // a node that could not read the call has not run it, but this is not proven
+		id, r := f.ID()
+		l.answer(id, Answer{Outcome: Erred, Text: fmt.Sprint(sftp.Code(r.Uint32()), " ", r.Text())})
+		return nil
+	}
+	return fmt.Errorf("%s sends packets of type %d", l.addr, f.Type)
+}
+
+func (l *link) answer(id uint32, a Answer) {
+	l.lock.Lock()
+	s := l.out[id]
+	if s != nil {
+		s.over = true
+		delete(l.out, id)
+	}
+	l.lock.Unlock()
+	if s == nil {
+		l.client.late.Add(1)
+		return
+	}
+	s.done(a)
+}
+
+// Closed ends the link.
+func (l *link) Closed(why error) {
+	if l.client.log != nil {
+		l.client.log.Debug("connection to a node ended", "node", l.addr, "why", why)
+	}
+	l.end(why)
+}
+
+// Keep closes the connections to nodes that are not named.
+func (c *Client) Keep(addrs map[string]bool) {
+	c.lock.Lock()
+	var drop []*link
+	for addr, list := range c.links {
+		if !addrs[addr] {
+			drop = append(drop, list...)
+		}
+	}
+	c.lock.Unlock()
+	for _, l := range drop {
+		l.lock.Lock()
+		conn, idle := l.conn, len(l.out)+len(l.wait) == 0
+		l.lock.Unlock()
+		if conn != nil && idle {
+			conn.Close(errors.New("the node is no longer listed"))
+		}
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.lock.Lock()
+	c.closed = true
+	var all []*link
+	for _, list := range c.links {
+		all = append(all, list...)
+	}
+	c.lock.Unlock()
+	for _, l := range all {
+		l.lock.Lock()
+		conn := l.conn
+		l.lock.Unlock()
+		if conn != nil {
+			conn.Close(errors.New("the gateway ends"))
+		}
+		l.end(errors.New("the gateway ends"))
+	}
+}
--- /dev/null
+++ b/internal/serve/files_test.go
@@ -0,0 +1,166 @@
+package serve_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	pkgsftp "github.com/pkg/sftp"
+
+	"irispost/internal/testkit"
+)
+
+// put writes a whole file in pieces.
+func put(c *pkgsftp.Client, path string, data []byte) error {
+	f, err := c.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
+	if err != nil {
+		return err
+	}
+	if _, err := f.ReadFrom(bytes.NewReader(data)); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func get(c *pkgsftp.Client, path string) ([]byte, error) {
+	f, err := c.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var b bytes.Buffer
+	_, err = f.WriteTo(&b)
+	return b.Bytes(), err
+}
+
+func random(seed uint64, n int) []byte {
+	b := make([]byte, n)
+	r := rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)})
+	r.Read(b)
+	return b
+}
+
+// A client that we did not write does all that the front offers.
+func TestFileCommands(t *testing.T) {
+	w := testkit.Start(t, testkit.Conf, 3, 2, nil)
+	a, b := w.Client(0), w.Client(1)
+	must := func(what string, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+	}
+	data := random(1, 300_001)
+	must("mkdir", a.Mkdir("/meals/week"))
+	must("put", put(a, "/meals/week/menu", data))
+	got, err := get(b, "/meals/week/menu")
+	must("get", err)
+	if sha256.Sum256(got) != sha256.Sum256(data) {
+		t.Fatalf("%d bytes come back otherwise through another gateway", len(got))
+	}
+	info, err := b.Stat("/meals/week/menu")
+	must("stat", err)
+	if info.Size() != int64(len(data)) || info.IsDir() {
+		t.Errorf("stat says %d bytes, folder %v", info.Size(), info.IsDir())
+	}
+	must("rename", b.Rename("/meals/week/menu", "/meals/menu"))
+	if _, err := a.Stat("/meals/week/menu"); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("the old name: %v", err)
+	}
+	must("second", put(a, "/meals/other", []byte("x")))
+	if err := a.Rename("/meals/other", "/meals/menu"); err == nil {
+		t.Error("RENAME replaces a file")
+	}
+	must("posix-rename", a.PosixRename("/meals/other", "/meals/menu"))
+	got, err = get(b, "/meals/menu")
+	must("get after replace", err)
+	if string(got) != "x" {
+		t.Errorf("after the replace: %d bytes", len(got))
+	}
+	list, err := b.ReadDir("/meals")
+	must("list", err)
+	var names []string
+	for _, e := range list {
+		names = append(names, e.Name())
+	}
+	if !slices.Equal(names, []string{"menu", "week"}) {
+		t.Errorf("the folder has %v", names)
+	}
+	must("put in folder", put(a, "/meals/week/x", nil))
+	if err := b.RemoveDirectory("/meals/week"); err == nil || !strings.Contains(err.Error(), "not empty") {
+		t.Errorf("rmdir of a full folder: %v", err)
+	}
+	must("remove", b.Remove("/meals/week/x"))
+	must("rmdir", b.RemoveDirectory("/meals/week"))
+	if err := put(a, "/meals/week/y", nil); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("a file in a folder that is gone: %v", err)
+	}
+	if _, err := a.OpenFile("/meals/menu", os.O_WRONLY|os.O_CREATE|os.O_EXCL); err == nil {
+		t.Error("an exclusive create of a file that is there")
+	}
+	for _, path := range []string{"/meals/../../etc/passwd", "/meals/..", "/nothing/here"} {
+		if _, err := a.Stat(path); err == nil {
+			t.Errorf("%s is found", path)
+		}
+	}
+	must("truncate", a.Truncate("/meals/menu", 0))
+	must("chmod", a.Chmod("/meals/menu", 0o600))
+	if info, err = b.Stat("/meals/menu"); err != nil || info.Size() != 0 || info.Mode().Perm() != 0o600 {
+		t.Errorf("after truncate and chmod: %v %v", info, err)
+	}
+}
+
+// Holes read as zeros, a file that was cut and grows again has zeros, and appends go to the end.
+func TestSparseCutAndAppend(t *testing.T) {
+	w := testkit.Start(t, testkit.Conf, 3, 1, nil)
+	c := w.Client(0)
+	f, err := c.OpenFile("/meals/sparse", os.O_RDWR|os.O_CREATE)
+	if err != nil {
+		t.Fatal(err)
+	}
+	model := make([]byte, 200_000)
+	tail := random(2, 1000)
+	copy(model[199_000:], tail)
+	if _, err := f.WriteAt(tail, 199_000); err != nil {
+		t.Fatal(err)
+	}
+	check := func(when string) {
+		t.Helper()
+		got := make([]byte, len(model)+1)
+		n, err := f.ReadAt(got, 0)
+		if err != io.EOF || !bytes.Equal(got[:n], model) {
+			t.Fatalf("%s: %d of %d bytes, equal %v, %v", when, n, len(model), bytes.Equal(got[:n], model), err)
+		}
+	}
+	check("with a hole")
+	model = model[:199_500]
+	if err := f.Truncate(199_500); err != nil {
+		t.Fatal(err)
+	}
+	check("cut")
+	model = append(model, make([]byte, 600)...)
+	model[200_099] = 7
+	if _, err := f.WriteAt([]byte{7}, 200_099); err != nil {
+		t.Fatal(err)
+	}
+	check("grown again")
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if f, err = c.OpenFile("/meals/sparse", os.O_RDWR|os.O_APPEND); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Write([]byte("end")); err != nil {
+		t.Fatal(err)
+	}
+	model = append(model, "end"...)
+	check("appended")
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,132 @@
+// Package serve puts a gateway together from its configuration: the list's source, the connections to nodes, the loop
+// with the module, and the front.
+package serve
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"irispost/internal/config"
+	"irispost/internal/front"
+	"irispost/internal/gateway"
+	"irispost/internal/listing"
+	"irispost/internal/node"
+	"irispost/internal/sftp"
+)
+
+// Gateway is a running gateway.
+type Gateway struct {
+	Config *config.Gateway
+	Loop   *gateway.Loop
+	Front  *front.Front
+	nodes  *node.Client
+	log    *slog.Logger
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Start starts a gateway. A relative name of the list's file counts from base.
+func Start(c *config.Gateway, base string, log *slog.Logger) (*Gateway, error) {
+	file := c.Nodes
+	if !filepath.IsAbs(file) {
+		file = filepath.Join(base, file)
+	}
+	return StartWith(c, listing.File{Path: file}, log)
+}
+
+// StartWith starts a gateway with another source of lists.
+func StartWith(c *config.Gateway, source listing.Source, log *slog.Logger) (*Gateway, error) {
+	bounds := sftp.DefaultBounds
+	bounds.Packet = max(2*c.Limits.Wire.Packet, 4<<20) // a node's listing may be longer than a client's packet
+	g := &Gateway{Config: c, log: log, nodes: node.NewClient(c.Connect, c.Each, bounds, log)}
+	g.Loop = gateway.Start(gateway.Options{Name: c.Name, Seed: c.Seed, Terms: c.Terms, Queue: c.Queue,
+		Clock: gateway.NewClock(), Nodes: g.nodes, Log: log})
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	first, once := make(chan struct{}), sync.Once{}
+	g.spawn(func() {
+		err := source.Run(ctx, func(l listing.List) {
+			log.Info("list of nodes", "gateway", c.Name, "version", l.Version, "nodes", len(l.Nodes))
+			g.Loop.List(l)
+			once.Do(func() { close(first) })
+		}, func(err error) {
+			log.Warn("the list of nodes is refused, the last good one stays in force", "gateway", c.Name, "why", err)
+			once.Do(func() { close(first) })
+		})
+		if err != nil {
+			log.Error("the list of nodes is not watched", "gateway", c.Name, "why", err)
+		}
+		once.Do(func() { close(first) })
+	})
+	<-first // so that the first client meets a gateway that knows its nodes
+	f, err := front.Start(c.Listen, front.Options{Name: c.Name, Loop: g.Loop, Volumes: c.Volumes, Shards: c.Shards,
+		Extent: c.Extent, Units: c.Units, Limits: c.Limits, Log: log})
+	if err != nil {
+		g.stopAll()
+		return nil, err
+	}
+	g.Front = f
+	if c.Sweep > 0 {
+		g.spawn(func() { g.sweep(ctx) })
+	}
+	return g, nil
+}
+
+func (g *Gateway) spawn(f func()) {
+	g.done.Add(1)
+	go func() { defer g.done.Done(); f() }()
+}
+
+// sweep looks for orphans, shard after shard.
+func (g *Gateway) sweep(ctx context.Context) {
+	tick := time.NewTicker(g.Config.Sweep)
+	defer tick.Stop()
+	for shard := 0; ; shard = (shard + 1) % g.Config.Shards {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		switch seen, removed, err := g.Front.Sweep(shard, g.Config.Idle); {
+		case err != nil:
+			g.log.Warn("sweep broken off", "gateway", g.Config.Name, "shard", shard, "seen", seen, "removed", removed, "why", err)
+		case removed > 0:
+			g.log.Info("sweep", "gateway", g.Config.Name, "shard", shard, "seen", seen, "removed", removed)
+		}
+	}
+}
+
+// ErrHeld tells that requests were still out at the deadline of a stop. They were written off.
+var ErrHeld = errors.New("requests were still out at the deadline")
+
+// Stop takes no new requests, lets what is out end until the context does, writes off the rest and stops.
+func (g *Gateway) Stop(ctx context.Context) error {
+	var held error
+	if err := g.Front.Drain(ctx); err != nil {
+		held = ErrHeld
+		g.Loop.Stop() // each job that is left gets its answer now
+		last, cancel := context.WithTimeout(context.Background(), time.Second)
+		g.Front.Drain(last)
+		cancel()
+	}
+	g.Front.Close()
+	g.stopAll()
+	return held
+}
+
+// Kill ends the gateway as a crash does: sockets close, and nothing is answered.
+func (g *Gateway) Kill() {
+	g.Front.Close()
+	g.stopAll()
+}
+
+func (g *Gateway) stopAll() {
+	g.cancel()
+	g.Loop.Stop()
+	g.nodes.Close()
+	g.done.Wait()
+}
--- /dev/null
+++ b/internal/sftp/conn.go
@@ -0,0 +1,304 @@
+package sftp
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Bounds are a connection's limits.
+type Bounds struct {
+	Packet   int           // longest packet taken, in bytes
+	Buffered int           // bytes that the peer may send ahead of what is read; past it the connection is closed
+	Unsent   int           // bytes that may wait for a peer that does not read; past it the connection is closed
+	Write    time.Duration // a flush that takes longer closes the connection
+}
+
+// DefaultBounds are used where nothing else is said.
+var DefaultBounds = Bounds{Packet: 256<<10 + 1024, Buffered: 32 << 20, Unsent: 64 << 20, Write: 10 * time.Second}
+
+// Frame is one packet that has come in. Body is its own memory, copied once out of the connection's buffer.
+type Frame struct {
+	Type Type
+	Body []byte // after the type
+}
+
+// ID reads the request id, which all packets but INIT and VERSION begin with.
+func (f Frame) ID() (uint32, *Fields) {
+	r := NewFields(f.Body)
+	return r.Uint32(), r
+}
+
+// Conn is a connection that carries packets. Send may be called from anywhere; packets are taken in by one caller.
+type Conn struct {
+	raw    netpoll.Connection
+	bounds Bounds
+	lock   sync.Mutex
+	wake   sync.Cond
+	queue  []*Packet
+	unsent int
+	closed error
+	gone   chan struct{}
+}
+
+// NewConn wraps a netpoll connection and starts to send what is queued on it.
+func NewConn(raw netpoll.Connection, b Bounds) *Conn {
+	c := &Conn{raw: raw, bounds: b, gone: make(chan struct{})}
+	c.wake.L = &c.lock
+	raw.SetWriteTimeout(b.Write)
+	go c.sender()
+	return c
+}
+
+// Gone is closed when the connection is.
+func (c *Conn) Gone() <-chan struct{} { return c.gone }
+
+// Remote is the peer's address.
+func (c *Conn) Remote() string { return c.raw.RemoteAddr().String() }
+
+// Why is the reason for which the connection was closed.
+func (c *Conn) Why() error {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.closed
+}
+
+// Send queues a packet. It does not wait; false tells that the connection is closed.
+func (c *Conn) Send(p *Packet) bool {
+	c.lock.Lock()
+	if c.closed != nil {
+		c.lock.Unlock()
+		return false
+	}
+	c.queue = append(c.queue, p)
+	c.unsent += p.Size()
+	over := c.unsent > c.bounds.Unsent
+	c.lock.Unlock()
+	if over { // from elsewhere: the peer's Closed may want locks that the sender holds
+		go c.Close(fmt.Errorf("the peer left over %d bytes unread", c.bounds.Unsent))
+		return false
+	}
+	c.wake.Signal()
+	return true
+}
+
+// sender writes what is queued, all that is there at a time.
+func (c *Conn) sender() {
+	for {
+		c.lock.Lock()
+		for len(c.queue) == 0 && c.closed == nil {
+			c.wake.Wait()
+		}
+		if c.closed != nil {
+			c.lock.Unlock()
+			return
+		}
+		batch := c.queue
+		c.queue, c.unsent = nil, 0
+		c.lock.Unlock()
+		w := c.raw.Writer()
+		for _, p := range batch {
+			head, tail := p.bytes()
+			_, err := w.WriteBinary(head)
+			if err == nil && len(tail) > 0 {
+				_, err = w.WriteBinary(tail)
+			}
+			if err != nil {
+				c.Close(err)
+				return
+			}
+		}
+		if err := w.Flush(); err != nil {
+			c.Close(err)
+			return
+		}
+	}
+}
+
+// Close closes the connection, for a reason.
+func (c *Conn) Close(why error) {
+	c.lock.Lock()
+	if c.closed != nil {
+		c.lock.Unlock()
+		return
+	}
+	if why == nil {
+		why = net.ErrClosed
+	}
+	c.closed = why
+	close(c.gone)
+	c.lock.Unlock()
+	c.wake.Broadcast()
+	c.raw.Close()
+}
+
+// Drained waits until what was queued has been handed to the socket, or the time is up.
+func (c *Conn) Drained(most time.Duration) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c.lock.Lock()
+		done := c.closed != nil || len(c.queue) == 0
+		c.lock.Unlock()
+		if done {
+			return
+		}
+	}
+}
+
+// Crowded tells whether the peer has sent more ahead than it may. netpoll reads on while its handler waits, so a
+// handler that waits has to look.
+func (c *Conn) Crowded() bool { return c.raw.Reader().Len() > c.bounds.Buffered }
+
+// Next takes the next packet, and waits for it. A length out of bounds is ErrLength: what follows cannot be read.
+func (c *Conn) Next() (Frame, error) {
+	r := c.raw.Reader()
+	head, err := r.Peek(4)
+	if err != nil {
+		return Frame{}, err
+	}
+	n := binary.BigEndian.Uint32(head)
+	if n < 5 || uint64(n) > uint64(c.bounds.Packet) {
+		return Frame{}, fmt.Errorf("%w: %d bytes, from 5 to %d are taken", ErrLength, n, c.bounds.Packet)
+	}
+	if err := r.Skip(4); err != nil {
+		return Frame{}, err
+	}
+	body, err := r.ReadBinary(int(n))
+	if err != nil {
+		return Frame{}, err
+	}
+	if err := r.Release(); err != nil {
+		return Frame{}, err
+	}
+	return Frame{Type(body[0]), body[1:]}, nil
+}
+
+// Peer takes a connection's packets, one after the other.
+type Peer interface {
+	Packet(Frame) error // an error closes the connection
+	Closed(why error)
+}
+
+// serve hands a connection's packets to its peer until it ends.
+func (c *Conn) serve(p Peer) {
+	for c.raw.Reader().Len() > 0 && c.Why() == nil {
+		f, err := c.Next()
+		if err == nil {
+			err = p.Packet(f)
+		}
+		if err != nil {
+			c.Close(err)
+			return
+		}
+	}
+}
+
+// Server accepts connections.
+type Server struct {
+	loop     netpoll.EventLoop
+	listener net.Listener
+	lock     sync.Mutex
+	conns    map[*Conn]bool
+	done     chan struct{}
+}
+
+type peerKey struct{}
+
+type served struct {
+	conn *Conn
+	peer Peer
+}
+
+// Listen serves connections at an address with a peer made for each, at most so many at a time (0: no limit).
+func Listen(addr string, b Bounds, most int, peer func(*Conn) Peer) (*Server, error) {
+	l, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: l, conns: map[*Conn]bool{}, done: make(chan struct{})}
+	s.loop, err = netpoll.NewEventLoop(
+		func(ctx context.Context, raw netpoll.Connection) error {
+			if v, ok := ctx.Value(peerKey{}).(*served); ok {
+				v.conn.serve(v.peer)
+			}
+			return nil
+		},
+		netpoll.WithOnPrepare(func(raw netpoll.Connection) context.Context {
+			c := NewConn(raw, b)
+			s.lock.Lock()
+			full := most > 0 && len(s.conns) >= most
+			if !full {
+				s.conns[c] = true
+			}
+			s.lock.Unlock()
+			if full {
+				c.Close(fmt.Errorf("%d connections are open, no more are taken", most))
+				return context.Background()
+			}
+			v := &served{c, peer(c)}
+			raw.AddCloseCallback(func(netpoll.Connection) error {
+				c.Close(errors.New("the peer closed the connection"))
+				s.lock.Lock()
+				delete(s.conns, c)
+				s.lock.Unlock()
+				v.peer.Closed(c.Why())
+				return nil
+			})
+			return context.WithValue(context.Background(), peerKey{}, v)
+		}))
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	go func() { s.loop.Serve(l); close(s.done) }()
+	return s, nil
+}
+
+// Addr is the address listened at.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Conns lists the open connections.
+func (s *Server) Conns() (list []*Conn) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// Close stops listening and closes all connections.
+func (s *Server) Close() {
+	for _, c := range s.Conns() {
+		c.Close(net.ErrClosed)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.loop.Shutdown(ctx)
+	s.listener.Close()
+}
+
+// Dial connects to an address, with a peer made for the connection.
+func Dial(addr string, b Bounds, within time.Duration, peer func(*Conn) Peer) (*Conn, error) {
+	raw, err := netpoll.DialConnection("tcp", addr, within)
+	if err != nil {
+		return nil, err
+	}
+	c := NewConn(raw, b)
+	p := peer(c)
+	raw.AddCloseCallback(func(netpoll.Connection) error {
+		c.Close(errors.New("the peer closed the connection"))
+		p.Closed(c.Why())
+		return nil
+	})
+	if err := raw.SetOnRequest(func(context.Context, netpoll.Connection) error { c.serve(p); return nil }); err != nil {
+		c.Close(err)
+		return nil, err
+	}
+	return c, nil
+}
