--- /dev/null
+++ b/cmd/irispost/main.go
@@ -0,0 +1,55 @@
+// Command irispost is a storage gateway and its tools.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// version is set by the build of a release.
+var version = "development"
+
+func main() {
+	root := &cobra.Command{
+		Use:   "irispost",
+		Short: "A gateway that schedules a host's reads and writes over storage nodes",
+		Long: `irispost takes file commands (SFTP version 3, without the cryptography) and schedules them over storage nodes.
+Begin with "irispost demo".`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(serveCommand(), checkCommand(), nodeCommand(), demoCommand(), dayCommand(), benchCommand(),
+		&cobra.Command{Use: "version", Short: "Tell which build this is", Args: cobra.NoArgs,
+			Run: func(c *cobra.Command, _ []string) {
+				fmt.Fprintln(c.OutOrStdout(), "irispost", version)
+				if info, ok := debug.ReadBuildInfo(); ok {
+					fmt.Fprintln(c.OutOrStdout(), info.GoVersion, info.Main.Version)
+				}
+			}})
+	root.AddCommand(fileCommands()...)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "irispost:", err)
+		os.Exit(1)
+	}
+}
+
+// logs adds the flags for logs, and returns what makes the log.
+func logs(c *cobra.Command) func() *slog.Logger {
+	form := c.Flags().String("log", "text", "form of the log: text or json")
+	level := c.Flags().String("level", "info", "least level: debug, info, warn or error")
+	return func() *slog.Logger {
+		var l slog.Level
+		if err := l.UnmarshalText([]byte(*level)); err != nil {
+			l = slog.LevelInfo
+		}
+		opt := &slog.HandlerOptions{Level: l}
+		if *form == "json" {
+			return slog.New(slog.NewJSONHandler(os.Stderr, opt))
+		}
+		return slog.New(slog.NewTextHandler(os.Stderr, opt))
+	}
+}
--- /dev/null
+++ b/cmd/irispost/run.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/spf13/cobra"
+
+	"irispost/examples"
+	"irispost/internal/bench"
+	"irispost/internal/config"
+	"irispost/internal/day"
+	"irispost/internal/listing"
+	"irispost/internal/serve"
+	"irispost/internal/standin"
+)
+
+// untilSignal ends with SIGINT or SIGTERM.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+func serveCommand() *cobra.Command {
+	c := &cobra.Command{Use: "serve", Short: "Run a gateway until SIGTERM", Args: cobra.NoArgs}
+	file := c.Flags().String("config", "irispost.hcl", "the configuration")
+	log := logs(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		conf, err := config.Load(*file)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := untilSignal()
+		defer cancel()
+		g, err := serve.Start(conf, filepath.Dir(*file), log())
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "gateway %s serves at %s\n", conf.Name, g.Front.Addr())
+		<-ctx.Done()
+		cancel() // a second signal ends the program at once
+		last, end := context.WithTimeout(context.Background(), conf.StopBy)
+		defer end()
+		if err := g.Stop(last); err != nil {
+			log().Warn("stopped", "gateway", conf.Name, "why", err)
+		}
+		return nil
+	}
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE ...", Short: "Check configurations, lists of nodes (nodes*.hcl) and days (day*.hcl)",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			bad := 0
+			for _, file := range files {
+				if err := check(file); err != nil {
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					bad++
+				} else {
+					fmt.Fprintln(c.OutOrStdout(), file, "is in order")
+				}
+			}
+			if bad > 0 {
+				return fmt.Errorf("%d of %d files are not in order", bad, len(files))
+			}
+			return nil
+		}}
+}
+
+func check(file string) error {
+	base := filepath.Base(file)
+	if ok, _ := filepath.Match("nodes*.hcl", base); ok {
+		src, err := os.ReadFile(file)
+		if err == nil {
+			_, err = listing.Parse(file, src)
+		}
+		return err
+	}
+	if ok, _ := filepath.Match("day*.hcl", base); ok {
+		_, err := day.Load(file)
+		return err
+	}
+	_, err := config.Load(file)
+	return err
+}
+
+func nodeCommand() *cobra.Command {
+	c := &cobra.Command{Use: "node", Short: "Run a stand-in storage node", Args: cobra.NoArgs}
+	o := standin.Options{Marks: time.Minute}
+	c.Flags().StringVar(&o.Addr, "listen", "127.0.0.1:7000", "address to serve at")
+	c.Flags().IntVar(&o.Shard, "shard", 0, "shard that it holds")
+	c.Flags().StringVar(&o.Zone, "zone", "", "zone that it stands in")
+	c.Flags().IntVar(&o.Cores, "cores", 2, "executions carried out at a time")
+	c.Flags().DurationVar(&o.Unit, "unit", 0, "time of a core for a unit")
+	c.Flags().IntVar(&o.Queue, "queue", 256, "executions that may wait")
+	dir := c.Flags().String("dir", "", "folder for the data; empty: in memory")
+	c.RunE = func(c *cobra.Command, _ []string) (err error) {
+		if o.Store, err = standin.NewStore(*dir); err != nil {
+			return err
+		}
+		n, err := standin.Start(o)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "node of shard %d serves at %s\n", o.Shard, n.Addr())
+		ctx, cancel := untilSignal()
+		defer cancel()
+		<-ctx.Done()
+		n.Close()
+		return nil
+	}
+	return c
+}
+
+func demoCommand() *cobra.Command {
+	c := &cobra.Command{Use: "demo", Short: "Run three stand-in nodes and a gateway on loopback until Ctrl-C", Args: cobra.NoArgs}
+	listen := c.Flags().String("listen", "127.0.0.1:2022", "address of the gateway")
+	log := logs(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		src, err := examples.Files.ReadFile("demo.hcl")
+		if err != nil {
+			return err
+		}
+		conf, err := config.Parse("demo.hcl", src)
+		if err != nil {
+			return err
+		}
+		dir, err := os.MkdirTemp("", "irispost-demo")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		var l listing.List
+		for shard := range conf.Shards {
+			store, err := standin.NewStore("")
+			if err != nil {
+				return err
+			}
+			n, err := standin.Start(standin.Options{Addr: "127.0.0.1:0", Shard: shard, Store: store, Cores: 2,
+				Unit: 2 * time.Millisecond, Queue: 256, Marks: time.Minute, Seed: uint64(shard)})
+			if err != nil {
+				return err
+			}
+			defer n.Close()
+			l.Nodes = append(l.Nodes, listing.Node{Addr: n.Addr(), Shard: shard})
+		}
+		if err := renameio.WriteFile(filepath.Join(dir, conf.Nodes), listing.Write(l), 0o644); err != nil {
+			return err
+		}
+		conf.Listen = *listen
+		ctx, cancel := untilSignal()
+		defer cancel()
+		g, err := serve.Start(conf, dir, log())
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), `gateway %s serves at %s, over %d stand-in nodes; its volume is /home
+
+Try, in another terminal:
+    go run ./cmd/irispost put --at %[2]s README.md /home/readme
+    go run ./cmd/irispost ls --at %[2]s /home
+    go run ./cmd/irispost get --at %[2]s /home/readme -
+Ctrl-C ends it; the files are in memory and go with it.
+`, conf.Name, g.Front.Addr(), conf.Shards)
+		<-ctx.Done()
+		last, end := context.WithTimeout(context.Background(), conf.StopBy)
+		defer end()
+		return g.Stop(last)
+	}
+	return c
+}
+
+func dayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "day FILE", Short: "Play a scripted day over loopback and check the seven rules", Args: cobra.ExactArgs(1)}
+	out := c.Flags().String("report", "", "write the report there, as JSON")
+	seed := c.Flags().Uint64("seed", 0, "another seed than the script's")
+	inside := c.Flags().Bool("inside", false, "run the gateways in this process; they are processes of their own otherwise")
+	verbose := c.Flags().Bool("gateway-logs", false, "show the gateways' logs")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		s, err := day.Load(args[0])
+		if err != nil {
+			return err
+		}
+		if *seed > 0 {
+			s.Seed = *seed
+		}
+		opt := day.Options{Note: func(format string, a ...any) { fmt.Fprintf(c.ErrOrStderr(), format+"\n", a...) }}
+		if !*inside {
+			if opt.Program, err = os.Executable(); err != nil {
+				return err
+			}
+		}
+		if *verbose {
+			opt.Log = c.ErrOrStderr()
+		}
+		ctx, cancel := untilSignal()
+		defer cancel()
+		r, err := day.Play(ctx, s, opt)
+		if err != nil {
+			return err
+		}
+		table(c, r)
+		if *out != "" {
+			b, err := json.MarshalIndent(r, "", "  ")
+			if err != nil {
+				return err
+			}
+			if err := renameio.WriteFile(*out, append(b, '\n'), 0o644); err != nil {
+				return err
+			}
+		}
+		if !r.Good() {
+			return errors.New("a rule is broken, or nothing was checked")
+		}
+		return nil
+	}
+	return c
+}
+
+func table(c *cobra.Command, r *day.Report) {
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "jobs\t%d\tcompleted %d, dismissed %d, written off %d, left %d, lost %d, answered twice %d, torn reads %d\n",
+		r.Jobs, r.Completed, r.Dismissed, r.WrittenOff, r.Left, r.Lost, r.Twice, r.TornReads)
+	fmt.Fprintf(w, "service\t%.3f\tof %d requests, with their further tries folded into the first\n", r.Service, r.Requests)
+	fmt.Fprintf(w, "\nproduct\tjobs\tin goal\tp50 ms\tp99 ms\n")
+	for _, p := range r.Products {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\t%.1f\n", p.Name, p.Jobs, p.InGoal, p.P50, p.P99)
+	}
+	fmt.Fprintf(w, "\nrule\tchecked\tbroken\n")
+	for _, rule := range r.Rules {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", rule.Name, rule.Checked, rule.Broken)
+		for _, first := range rule.First {
+			fmt.Fprintf(w, "    %s\n", first)
+		}
+	}
+	w.Flush()
+}
+
+func benchCommand() *cobra.Command {
+	c := &cobra.Command{Use: "bench", Short: "Measure a gateway against the same client straight at its node", Args: cobra.NoArgs}
+	each := c.Flags().Duration("each", time.Second, "time for each measurement")
+	rounds := c.Flags().Int("rounds", 3, "measurements of each case; the medians are shown")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		return bench.Run(c.OutOrStdout(), self, *each, *rounds)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/day/script.go
@@ -0,0 +1,217 @@
+// Package day plays a scripted day over real loopback sockets: nodes, gateways, clients and troubles at their times. It
+// records what passes on the sockets and has package audit check the rules from that record alone.
+package day
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+)
+
+// Span is a span of time in a script.
+type Span = time.Duration
+
+type scriptForm struct {
+	Seed     uint64        `hcl:"seed,optional"`
+	Length   string        `hcl:"length"`
+	Config   string        `hcl:"config"`
+	Gateways int           `hcl:"gateways"`
+	Grace    string        `hcl:"grace,optional"`
+	Slack    string        `hcl:"slack,optional"`
+	Nodes    []nodeForm    `hcl:"node,block"`
+	Clients  []clientForm  `hcl:"client,block"`
+	Troubles []troubleForm `hcl:"trouble,block"`
+}
+
+type nodeForm struct {
+	Name   string    `hcl:"name,label"`
+	Shard  int       `hcl:"shard"`
+	Zone   string    `hcl:"zone,optional"`
+	Cores  int       `hcl:"cores,optional"`
+	Unit   string    `hcl:"unit"`
+	Queue  int       `hcl:"queue,optional"`
+	PutOff float64   `hcl:"put_off,optional"`
+	Range  hcl.Range `hcl:",def_range"`
+}
+
+type clientForm struct {
+	Name    string    `hcl:"name,label"`
+	Count   int       `hcl:"count,optional"`
+	Volume  string    `hcl:"volume"`
+	Do      string    `hcl:"do"`
+	Rate    float64   `hcl:"rate"`
+	Bytes   int       `hcl:"bytes,optional"`
+	Files   int       `hcl:"files,optional"`
+	Blocks  int       `hcl:"blocks,optional"`
+	Retries int       `hcl:"retries,optional"`
+	Pause   string    `hcl:"pause,optional"`
+	Leaves  string    `hcl:"leaves_after,optional"`
+	Range   hcl.Range `hcl:",def_range"`
+}
+
+type troubleForm struct {
+	At      string    `hcl:"at"`
+	For     string    `hcl:"for,optional"`
+	Node    string    `hcl:"node,optional"`
+	Gateway string    `hcl:"gateway,optional"`
+	Do      string    `hcl:"do"`
+	Range   hcl.Range `hcl:",def_range"`
+}
+
+// NodePlan is a stand-in node of a script.
+type NodePlan struct {
+	Name   string
+	Shard  int
+	Zone   string
+	Cores  int
+	Unit   Span
+	Queue  int
+	PutOff float64
+}
+
+// ClientPlan is a group of clients that do the same.
+type ClientPlan struct {
+	Name    string
+	Count   int
+	Volume  string
+	Do      string  // read, write (in place), create, or look
+	Rate    float64 // requests a second of each
+	Bytes   int     // of a request
+	Files   int     // of each client
+	Blocks  int     // requests that fill a file
+	Retries int     // further tries after an answer that is not what was asked for
+	Pause   Span    // before such a try, if the answer gives no time
+	Leaves  Span    // closes its connection with what is out when a request takes longer; 0: never
+}
+
+// TroublePlan is something that happens at a time.
+type TroublePlan struct {
+	At, For Span
+	Node    string
+	Gateway string
+	Do      string
+}
+
+// Script is a day.
+type Script struct {
+	Seed     uint64
+	Length   Span
+	Config   string // the gateways' configuration
+	Gateways int
+	Grace    Span // of drains
+	Slack    Span // after a client's limit during which an answer counts
+	Nodes    []NodePlan
+	Clients  []ClientPlan
+	Troubles []TroublePlan
+}
+
+// Load reads a script.
+func Load(file string) (*Script, error) {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Parse(file, src)
+	if err == nil && !filepath.IsAbs(s.Config) {
+		s.Config = filepath.Join(filepath.Dir(file), s.Config)
+	}
+	return s, err
+}
+
+// Parse reads a script. What it refuses it names with its line.
+func Parse(file string, src []byte) (*Script, error) {
+	f, diags := hclparse.NewParser().ParseHCL(src, file)
+	if diags.HasErrors() {
+		return nil, diags
+	}
+	var form scriptForm
+	if diags := gohcl.DecodeBody(f.Body, nil, &form); diags.HasErrors() {
+		return nil, diags
+	}
+	var problems []string
+	refuse := func(at hcl.Range, format string, args ...any) {
+		problems = append(problems, fmt.Sprintf("%s: %s", at, fmt.Sprintf(format, args...)))
+	}
+	top := hcl.Range{Filename: file, Start: hcl.InitialPos, End: hcl.InitialPos}
+	span := func(at hcl.Range, name, text string, otherwise Span) Span {
+		if text == "" {
+			return otherwise
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 0 {
+			refuse(at, "%s = %q is not a span such as \"2.5s\"", name, text)
+		}
+		return d
+	}
+	s := &Script{Seed: form.Seed, Length: span(top, "length", form.Length, 0), Config: form.Config, Gateways: form.Gateways,
+		Grace: span(top, "grace", form.Grace, 2*time.Second), Slack: span(top, "slack", form.Slack, 250*time.Millisecond)}
+	if s.Gateways < 1 || s.Gateways > 64 || s.Length <= 0 || s.Length > time.Hour {
+		refuse(top, "a day has 1 to 64 gateways and lasts up to an hour")
+	}
+	nodes := map[string]bool{}
+	for _, n := range form.Nodes {
+		if nodes[n.Name] {
+			refuse(n.Range, "there is a node %q already", n.Name)
+		}
+		nodes[n.Name] = true
+		s.Nodes = append(s.Nodes, NodePlan{n.Name, n.Shard, n.Zone, max(n.Cores, 1), span(n.Range, "unit", n.Unit, 0),
+			max(n.Queue, 1), n.PutOff})
+	}
+	if len(nodes) == 0 || len(form.Clients) == 0 {
+		refuse(top, "a day needs a node and a client")
+	}
+	for _, c := range form.Clients {
+		if !slices.Contains([]string{"read", "write", "create", "look"}, c.Do) {
+			refuse(c.Range, "do = %q: clients \"read\", \"write\", \"create\" or \"look\"", c.Do)
+		}
+		if c.Rate <= 0 || c.Rate > 1e5 {
+			refuse(c.Range, "rate = %v is not over 0 and up to 100000", c.Rate)
+		}
+		if c.Bytes == 0 {
+			c.Bytes = 16 << 10
+		}
+		if c.Bytes%block != 0 || c.Bytes < 0 || c.Bytes > 256<<10 {
+			refuse(c.Range, "bytes = %d is not a multiple of %d up to %d", c.Bytes, block, 256<<10)
+		}
+		s.Clients = append(s.Clients, ClientPlan{c.Name, max(c.Count, 1), c.Volume, c.Do, c.Rate, c.Bytes, max(c.Files, 1),
+			max(c.Blocks, 1), c.Retries, span(c.Range, "pause", c.Pause, 100*time.Millisecond),
+			span(c.Range, "leaves_after", c.Leaves, 0)})
+	}
+	for _, t := range form.Troubles {
+		word, _, _ := strings.Cut(t.Do, " ")
+		switch {
+		case t.Gateway != "" && word != "kill":
+			refuse(t.Range, "do = %q: gateways can be killed only", t.Do)
+		case t.Gateway != "" && !known(t.Gateway, s.Gateways):
+			refuse(t.Range, "there is no gateway %q, they are called g1 to g%d", t.Gateway, s.Gateways)
+		case t.Gateway == "" && !nodes[t.Node]:
+			refuse(t.Range, "there is no node %q", t.Node)
+		case t.Gateway == "" && !slices.Contains([]string{"fail", "slow", "drop", "hang", "stall", "refuse", "cut", "reset",
+			"die", "replace"}, word):
+			refuse(t.Range, "do = %q: no such trouble", t.Do)
+		}
+		s.Troubles = append(s.Troubles, TroublePlan{span(t.Range, "at", t.At, 0), span(t.Range, "for", t.For, 0), t.Node,
+			t.Gateway, t.Do})
+	}
+	if len(problems) > 0 {
+		return nil, fmt.Errorf("%s", strings.Join(problems, "\n"))
+	}
+	return s, nil
+}
+
+// known tells whether a day with so many gateways has one of the name.
+func known(name string, gateways int) bool {
+	for i := range gateways {
+		if name == fmt.Sprintf("g%d", i+1) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/front/file.go
+++ b/internal/front/file.go
@@ -152,7 +152,7 @@
 	}
 	length = int(min(uint64(length), size-offset))
 	pieces := layout.Pieces(offset, length, run)
-	product := f.volume.product(Read, f.path, size)
+	product := f.volume.Product(Read, f.path, size)
 	waits := make([]<-chan gateway.Result, len(pieces))
 	for i, p := range pieces {
 		e, err := t.settled(f, product, p.Index)
@@ -209,7 +209,7 @@
 		return failed(sftp.Failure, "a file ends at 2^50 bytes at most")
 	}
 	pieces := layout.Pieces(offset, len(data), run)
-	product := f.volume.product(Write, f.path, max(size, offset+uint64(len(data))))
+	product := f.volume.Product(Write, f.path, max(size, offset+uint64(len(data))))
 	results := make(chan *failure, len(pieces))
 	for _, p := range pieces[:max(len(pieces)-1, 0)] {
 		go func() { results <- t.piece(f, product, p, data[p.From:p.From+p.Length]) }()
@@ -353,7 +353,7 @@
 		f.lock.Unlock()
 		return nil
 	case size < old: // what lay behind must read as zeros if the file grows again
-		product := f.volume.product(Write, f.path, old)
+		product := f.volume.Product(Write, f.path, old)
 		for at := size; size%run > 0 && at < old && at/run == size/run; {
 			n := min(run-at%run, old-at, 32<<10)
 			if e, err := t.settled(f, product, int(at/run)); err != nil || e.Object == "" {
@@ -393,7 +393,7 @@
 	after := ""
 	for {
 		t := f.duty()
-		a, fail := t.do(any, any.product(Look, layout.Path{Volume: any.Name}, 0), f.opt.Units.Of(0), 0,
+		a, fail := t.do(any, any.Product(Look, layout.Path{Volume: any.Name}, 0), f.opt.Units.Of(0), 0,
 			node.Call{Op: node.Objects, Shard: shard, Owner: after, Length: 256})
 		if fail != nil {
 			return seen, removed, fail
@@ -415,7 +415,7 @@
 				return seen, removed, fail
 			}
 			if orphan {
-				_, fail := t.do(v, v.product(Write, p, 0), f.opt.Units.Of(0), keyOf(it.Name),
+				_, fail := t.do(v, v.Product(Write, p, 0), f.opt.Units.Of(0), keyOf(it.Name),
 					node.Call{Op: node.Drop, Name: it.Name, Shard: shard})
 				if fail != nil {
 					return seen, removed, fail
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,8 +52,8 @@
 	Rules []Rule // the last ones fit everything
 }
 
-// product names the product of an operation.
-func (v *Volume) product(s Sort, p layout.Path, size uint64) *Product {
+// Product names the product of an operation.
+func (v *Volume) Product(s Sort, p layout.Path, size uint64) *Product {
 	for _, r := range v.Rules {
 		fits := r.Larger == 0 || size > r.Larger
 		if fits && r.Match != "" {
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -29,7 +29,7 @@
 
 // glance reads a record as it stands.
 func (t *task) glance(v *Volume, p layout.Path) (*layout.Record, *failure) {
-	a, err := t.do(v, v.product(Look, p, 0), t.front.opt.Units.Of(0), 0,
+	a, err := t.do(v, v.Product(Look, p, 0), t.front.opt.Units.Of(0), 0,
 		node.Call{Op: node.Look, Name: p.String(), Shard: p.Home(t.front.opt.Shards)})
 	if err != nil {
 		return nil, err
@@ -56,7 +56,7 @@
 		to.Mark = mark
 		call.Data = to.Encode()
 	}
-	a, err := t.do(v, v.product(Change, p, 0), t.front.opt.Units.Of(len(call.Data)), 0, call)
+	a, err := t.do(v, v.Product(Change, p, 0), t.front.opt.Units.Of(len(call.Data)), 0, call)
 	if err != nil {
 		return nil, false, err
 	}
@@ -147,7 +147,7 @@
 		defer f.busy.Done()
 		t := f.duty()
 		for _, e := range extents {
-			t.do(v, v.product(Write, p, 0), f.opt.Units.Of(0), keyOf(e.Object),
+			t.do(v, v.Product(Write, p, 0), f.opt.Units.Of(0), keyOf(e.Object),
 				node.Call{Op: node.Drop, Name: e.Object, Shard: e.Shard})
 		}
 	}()
@@ -230,7 +230,7 @@
 		for shard := range open {
 			if open[shard] {
 				shards = append(shards, shard)
-				waits = append(waits, t.start(v, v.product(Look, p, 0), t.front.opt.Units.Of(0), 0,
+				waits = append(waits, t.start(v, v.Product(Look, p, 0), t.front.opt.Units.Of(0), 0,
 					node.Call{Op: node.List, Name: p.String(), Owner: after[shard], Shard: shard, Length: uint32(min(most, 512))}))
 			}
 		}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -168,7 +168,7 @@
 func (r *request) turn(p layout.Path, from, to uint64, write bool, sort Sort) {
 	s := r.session
 	if v := s.front.opt.Volumes[p.Volume]; v != nil {
-		r.product = v.product(sort, p, 0)
+		r.product = v.Product(sort, p, 0)
 	}
 	t := &turn{from, to, write, make(chan struct{})}
 	s.lock.Lock()
