--- a/cmd/irispost/run.go
+++ b/cmd/irispost/run.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -32,12 +34,27 @@
 func serveCommand() *cobra.Command {
 	c := &cobra.Command{Use: "serve", Short: "Run a gateway until SIGTERM", Args: cobra.NoArgs}
 	file := c.Flags().String("config", "irispost.hcl", "the configuration")
+	profile := c.Flags().String("cpu-profile", "", "write a profile of the processor's time there, until the end")
 	log := logs(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		conf, err := config.Load(*file)
 		if err != nil {
 			return err
 		}
+		if *profile != "" {
+			out, err := os.Create(*profile)
+			if err != nil {
+				return err
+			}
+			defer out.Close()
+			if err := pprof.StartCPUProfile(out); err != nil {
+				return err
+			}
+			defer pprof.StopCPUProfile()
+		}
+		if os.Getenv("GOGC") == "" {
+			debug.SetGCPercent(400) // what lives is little, what passes is much: GOGC and GOMEMLIMIT still count
+		}
 		ctx, cancel := untilSignal()
 		defer cancel()
 		g, err := serve.Start(conf, filepath.Dir(*file), log())
@@ -250,12 +267,13 @@
 	c := &cobra.Command{Use: "bench", Short: "Measure a gateway against the same client straight at its node", Args: cobra.NoArgs}
 	each := c.Flags().Duration("each", time.Second, "time for each measurement")
 	rounds := c.Flags().Int("rounds", 3, "measurements of each case; the medians are shown")
+	profile := c.Flags().String("cpu-profile", "", "write a profile of the gateway's processor time there")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		self, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		return bench.Run(c.OutOrStdout(), self, *each, *rounds)
+		return bench.Run(c.OutOrStdout(), self, *profile, *each, *rounds)
 	}
 	return c
 }
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -18,6 +18,8 @@
 	ClientGo             // a client has closed its connection, or it broke
 	Got                  // a node has got an execution
 	Gave                 // a node has answered one
+	Called               // a node is told that an execution is called off
+	Broke                // a connection to a node has ended; Conn names it
 	Ran                  // a node has carried one out: its effect is there
 	Born                 // a node has started
 	Fell                 // a node was pushed over
@@ -56,6 +58,7 @@
 	Units   float64
 	Kind    uint8 // 0 replayable, 1 referenced, 2 single-use
 	Key     int64
+	Conn    int64 // of a gateway to a node
 	Left    int64 // Got: the time-out that came with it
 	Mark    string
 	Change  bool   // it changes something
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -236,7 +237,7 @@
 }
 
 // Run measures all cases and writes a table.
-func Run(out io.Writer, program string, each time.Duration, rounds int) error {
+func Run(out io.Writer, program, profile string, each time.Duration, rounds int) error {
 	store, err := standin.NewStore("")
 	if err != nil {
 		return err
@@ -259,7 +260,7 @@
 	if err := os.WriteFile(file, []byte(conf), 0o644); err != nil {
 		return err
 	}
-	gateway := exec.Command(program, "serve", "--config", file)
+	gateway := exec.Command(program, "serve", "--config", file, "--cpu-profile", profile)
 	pipe, err := gateway.StdoutPipe()
 	if err != nil {
 		return err
@@ -267,7 +268,7 @@
 	if err := gateway.Start(); err != nil {
 		return err
 	}
-	defer func() { gateway.Process.Kill(); gateway.Wait() }()
+	defer func() { gateway.Process.Signal(syscall.SIGTERM); gateway.Wait() }()
 	line, err := bufio.NewReader(pipe).ReadString('\n')
 	if err != nil {
 		return fmt.Errorf("the gateway does not start: %w", err)
--- a/internal/front/file.go
+++ b/internal/front/file.go
@@ -283,7 +283,6 @@
 func (t *task) commit(f *file) *failure {
 	f.commits.Lock()
 	defer f.commits.Unlock()
-	mark := t.front.mark()
 	for range tries {
 		f.lock.Lock()
 		if !f.dirty {
@@ -302,7 +301,7 @@
 			next.Extents, next.Size = nil, size
 		}
 		lost = append(lost, next.Merge(placed, next.Size)...)
-		now, ours, err := t.swap(f.volume, f.path, base.Version, &next, mark)
+		now, ours, err := t.swap(f.volume, f.path, base.Version, &next, t.front.mark()) // each try is a change of its own
 		if err == nil && !ours && now.Version == 0 {
 			t.front.drop(f.volume, f.path, values(placed))
 			err = failed(sftp.NoSuchFile, "%s was removed by another", f.path)
@@ -382,8 +381,8 @@
 // Sweep removes the objects of a shard that no record refers to and that nobody has written for so long: what was left
 // by gateways that died between an extent's write and its commit. It returns how many it looked at and removed.
 func (f *Front) Sweep(shard int, idle time.Duration) (seen, removed int, err error) {
-	f.busy.Add(1)
-	defer f.busy.Done()
+	f.busy.begin()
+	defer f.busy.end()
 	var any *Volume
 	for _, v := range f.opt.Volumes {
 		if any == nil || v.Name < any.Name {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,7 +110,7 @@
 	lock     sync.Mutex
 	files    map[layout.Path]*file
 	stopping atomic.Bool
-	busy     sync.WaitGroup // requests without an answer, and duties
+	busy     tally // requests without an answer, and duties
 }
 
 // Start listens at an address.
@@ -132,10 +132,8 @@
 // Drain stops taking requests and waits until all that were taken have their answers, or the context ends.
 func (f *Front) Drain(ctx context.Context) error {
 	f.stopping.Store(true)
-	done := make(chan struct{})
-	go func() { f.busy.Wait(); close(done) }()
 	select {
-	case <-done:
+	case <-f.busy.none():
 		for _, c := range f.server.Conns() {
 			c.Drained(time.Second)
 		}
@@ -219,7 +217,9 @@
 func (t *task) finish(r gateway.Result, op node.Op) (node.Answer, *failure) {
 	switch r.State {
 	case decide.Completed:
-		t.affected = t.affected || op.Writes()
+		if op == node.Swap && r.Answer.Code == node.Done {
+			t.affected = true
+		}
 		return r.Answer, nil
 	case decide.Withdrawn:
 		return node.Answer{}, &failure{left: true}
@@ -228,7 +228,9 @@
 			return node.Answer{}, dismissal(r.Wait, r.Why)
 		}
 	}
-	t.affected = t.affected || op.Writes()
+	if op == node.Swap {
+		t.affected = true
+	}
 	text := "written off: it may have been done in part or not at all"
 	if r.Why != "" {
 		text += "; " + r.Why
@@ -263,3 +265,40 @@
 	}
 	return p, nil
 }
+
+// tally counts what is under way, and tells when nothing is. Unlike a WaitGroup it may be waited for while more begins.
+type tally struct {
+	lock  sync.Mutex
+	count int
+	waits []chan struct{}
+}
+
+func (t *tally) begin() {
+	t.lock.Lock()
+	t.count++
+	t.lock.Unlock()
+}
+
+func (t *tally) end() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if t.count--; t.count == 0 {
+		for _, w := range t.waits {
+			close(w)
+		}
+		t.waits = nil
+	}
+}
+
+// none returns what is closed once nothing is under way.
+func (t *tally) none() <-chan struct{} {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	w := make(chan struct{})
+	if t.count == 0 {
+		close(w)
+	} else {
+		t.waits = append(t.waits, w)
+	}
+	return w
+}
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -142,9 +142,9 @@
 	if len(extents) == 0 {
 		return
 	}
-	f.busy.Add(1)
+	f.busy.begin()
 	go func() {
-		defer f.busy.Done()
+		defer f.busy.end()
 		t := f.duty()
 		for _, e := range extents {
 			t.do(v, v.Product(Write, p, 0), f.opt.Units.Of(0), keyOf(e.Object),
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -102,7 +102,7 @@
 	}
 	r := &request{session: s, id: id, turns: map[layout.Path]*turn{},
 		task: task{front: s.front, session: s.loop, number: id, arrived: s.front.opt.Loop.Now()}}
-	s.front.busy.Add(1)
+	s.front.busy.begin()
 	if s.front.stopping.Load() {
 		r.answer(nil, dismissal(0, "this gateway is stopping, another may serve you"))
 		return nil
@@ -152,9 +152,9 @@
 	s.handles = map[string]*handle{}
 	s.lock.Unlock()
 	slices.SortFunc(open, func(a, b *handle) int { return len(a.name) - len(b.name) })
-	s.front.busy.Add(1)
+	s.front.busy.begin()
 	go func() {
-		defer s.front.busy.Done()
+		defer s.front.busy.end()
 		for _, h := range open {
 			if err := s.front.duty().commit(h.file); err != nil {
 				s.front.opt.Log.Warn("what a client wrote before it left is not recorded", "path", h.path.String(), "why", err.text)
@@ -223,7 +223,7 @@
 	}
 	s.lock.Unlock()
 	<-s.slots
-	s.front.busy.Done()
+	s.front.busy.end()
 }
 
 // answer sends the one answer.
@@ -249,6 +249,9 @@
 	if bad := f.Err; bad != nil && (err == nil || err.code != sftp.OpUnsupported) {
 		work, err = nil, failed(sftp.BadMessage, "packet of type %d: %v", t, bad)
 	}
+	if err == nil && work == nil && r.state != answered { // all fields could be read, and some were left
+		err = failed(sftp.BadMessage, "packet of type %d: %v", t, sftp.ErrExtra)
+	}
 	if err != nil {
 		r.answer(nil, err)
 		return nil
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -130,7 +130,7 @@
 	}
 	if delete(l.out, s.id); tell {
 		l.next++
-		l.conn.Send(Cancel(l.next, s.id))
+		l.conn.Send(Cancel(l.next, s.id, s.call))
 	}
 }
 
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -92,7 +92,7 @@
 
 // Packet writes the call as a request.
 func (c *Call) Packet(id uint32) *sftp.Packet {
-	p := sftp.New(sftp.Extended, id).Text(ExecExtension).Text(c.Gateway).Text(c.Job).Uint32(uint32(c.Number)).
+	p := sftp.NewLong(sftp.Extended, id).Text(ExecExtension).Text(c.Gateway).Text(c.Job).Uint32(uint32(c.Number)).
 		Uint64(uint64(c.Volume)).Uint32(uint32(c.Units*thousand + 0.5)).Uint32(uint32(max(c.Left.Milliseconds(), 1))).
 		Byte(c.Kind).Uint64(uint64(c.Key)).Uint32(uint32(int32(c.Shard))).Text(c.Mark).Byte(byte(c.Op)).Text(c.Name).
 		Text(c.Owner).Uint64(c.Offset).Uint32(c.Length).Uint64(c.Version)
@@ -136,8 +136,8 @@
 }
 
 // Cancel writes the request that asks a node to drop an execution that it has not begun. It has no answer.
-func Cancel(id, exec uint32) *sftp.Packet {
-	return sftp.New(sftp.Extended, id).Text(CancelExtension).Uint32(exec)
+func Cancel(id, exec uint32, c *Call) *sftp.Packet {
+	return sftp.New(sftp.Extended, id).Text(CancelExtension).Uint32(exec).Text(c.Job).Uint32(uint32(c.Number))
 }
 
 // Item is one record or object of a list.
--- a/internal/sftp/conn.go
+++ b/internal/sftp/conn.go
@@ -37,14 +37,15 @@
 
 // Conn is a connection that carries packets. Send may be called from anywhere; packets are taken in by one caller.
 type Conn struct {
-	raw    netpoll.Connection
-	bounds Bounds
-	lock   sync.Mutex
-	wake   sync.Cond
-	queue  []*Packet
-	unsent int
-	closed error
-	gone   chan struct{}
+	raw     netpoll.Connection
+	bounds  Bounds
+	lock    sync.Mutex
+	wake    sync.Cond
+	queue   []*Packet
+	unsent  int
+	sending bool // a batch is on its way to the socket
+	closed  error
+	gone    chan struct{}
 }
 
 // NewConn wraps a netpoll connection and starts to send what is queued on it.
@@ -92,6 +93,7 @@
 func (c *Conn) sender() {
 	for {
 		c.lock.Lock()
+		c.sending = false
 		for len(c.queue) == 0 && c.closed == nil {
 			c.wake.Wait()
 		}
@@ -100,7 +102,7 @@
 			return
 		}
 		batch := c.queue
-		c.queue, c.unsent = nil, 0
+		c.queue, c.unsent, c.sending = nil, 0, true
 		c.lock.Unlock()
 		w := c.raw.Writer()
 		for _, p := range batch {
@@ -142,7 +144,7 @@
 func (c *Conn) Drained(most time.Duration) {
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		c.lock.Lock()
-		done := c.closed != nil || len(c.queue) == 0
+		done := c.closed != nil || len(c.queue) == 0 && !c.sending
 		c.lock.Unlock()
 		if done {
 			return
--- a/internal/sftp/packet.go
+++ b/internal/sftp/packet.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 )
 
 // Type is a packet's type (draft, section 3).
@@ -201,8 +202,13 @@
 }
 
 // New begins a packet. Its length is filled in by Conn.Send.
-func New(t Type, id uint32) *Packet {
-	p := &Packet{head: make([]byte, 4, 96)}
+func New(t Type, id uint32) *Packet { return sized(t, id, 96) }
+
+// NewLong begins a packet whose head is longer than usual.
+func NewLong(t Type, id uint32) *Packet { return sized(t, id, 320) }
+
+func sized(t Type, id uint32, n int) *Packet {
+	p := &Packet{head: make([]byte, 4, n)}
 	p.head = append(p.head, byte(t))
 	return p.Uint32(id)
 }
@@ -314,3 +320,10 @@
 
 // Body is what the packet holds after its length and type. A packet with a tail is not asked for it.
 func (p *Packet) Body() []byte { return p.head[5:] }
+
+// WriteOut writes the packet to a plain writer.
+func (p *Packet) WriteOut(w io.Writer) error {
+	head, tail := p.bytes()
+	_, err := w.Write(append(head[:len(head):len(head)], tail...))
+	return err
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"irispost/internal/audit"
@@ -48,6 +49,7 @@
 	rand   *rand.Rand
 	queue  []*work
 	held   int
+	count  int64         // of executions that came in
 	spent  time.Duration // of the latest executions, averaged
 	late   time.Duration // put off
 	born   time.Time
@@ -62,6 +64,7 @@
 	conn   *sftp.Conn
 	id     uint32
 	by     time.Time
+	peer   *peer
 	called bool // off
 }
 
@@ -102,7 +105,7 @@
 		if refuse {
 			go c.Close(net.ErrClosed)
 		}
-		return &peer{node: n, conn: c, handles: map[string]string{}}
+		return &peer{node: n, conn: c, number: connections.Add(1), handles: map[string]string{}}
 	})
 	if err != nil {
 		return nil, err
@@ -199,9 +202,10 @@
 		n.lock.Unlock()
 		return
 	}
+	n.count++
 	n.opt.Record.Add(audit.Event{What: audit.Got, Node: n.addr, Zone: n.opt.Zone, Shard: n.opt.Shard, Gateway: c.Gateway,
 		Job: c.Job, Number: c.Number, Volume: c.Volume, Units: c.Units, Kind: c.Kind, Key: c.Key, Mark: c.Mark,
-		Left: int64(c.Left), Change: c.Op.Writes()})
+		Left: int64(c.Left), Conn: w.peer.number, Change: c.Op.Writes()})
 	if n.opt.Cold && n.part(now) < 1 && n.opt.Multiple > 0 && n.opt.Unit > 0 {
 		n.got = append(n.got, spent{now, c.Units})
 		sum := 0.0
@@ -314,15 +318,15 @@
 		}
 	}
 	if a.Outcome == node.Served {
-		a.Others = n.count(c)
+		a.Others = n.others(c)
 	}
 	if !lost {
 		n.answer(w, a)
 	}
 }
 
-// count counts what a volume is served, and tells what others were since this gateway's last answer.
-func (n *Node) count(c *node.Call) float64 {
+// others counts what a volume is served, and tells what others were since this gateway's last answer.
+func (n *Node) others(c *node.Call) float64 {
 	n.lock.Lock()
 	defer n.lock.Unlock()
 	s := n.served[c.Volume]
@@ -348,9 +352,13 @@
 	w.conn.Send(a.Packet(w.id))
 }
 
+// connections numbers the connections to all nodes of a process.
+var connections atomic.Int64
+
 // peer is one connection to the node.
 type peer struct {
 	node    *Node
+	number  int64
 	conn    *sftp.Conn
 	handles map[string]string // of the plain file service
 }
@@ -373,7 +381,7 @@
 			p.conn.Send(sftp.StatusOf(id, sftp.BadMessage, err.Error()))
 			return nil
 		}
-		p.node.take(&work{call: c, conn: p.conn, id: id, by: time.Now().Add(c.Left)})
+		p.node.take(&work{call: c, conn: p.conn, peer: p, id: id, by: time.Now().Add(c.Left)})
 	case node.CancelExtension:
 		exec := r.Uint32()
 		p.node.lock.Lock()
@@ -383,6 +391,7 @@
 			}
 		}
 		p.node.lock.Unlock()
+		p.node.opt.Record.Add(audit.Event{What: audit.Called, Node: p.node.addr, Job: r.Text(), Number: int(r.Uint32())})
 	case FaultExtension:
 		if err := p.node.Command(r.Text()); err != nil {
 			p.conn.Send(sftp.StatusOf(id, sftp.Failure, err.Error()))
@@ -399,7 +408,9 @@
 const FaultExtension = "fault@irispost"
 
 // Closed is called when the connection has ended; what it asked for goes on.
-func (p *peer) Closed(error) {}
+func (p *peer) Closed(error) {
+	p.node.opt.Record.Add(audit.Event{What: audit.Broke, Node: p.node.addr, Conn: p.number})
+}
 
 // plain serves files by name, each one object.
 func (p *peer) plain(t sftp.Type, id uint32, r *sftp.Fields) {
@@ -460,3 +471,10 @@
 		status(sftp.OpUnsupported)
 	}
 }
+
+// Got counts the executions that have come in, whatever became of them.
+func (n *Node) Got() int64 {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	return n.count
+}
