--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"irispost/internal/front"
+	"irispost/internal/layout"
+)
+
+func example(t *testing.T) string {
+	b, err := os.ReadFile("../../examples/canteen.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestExample(t *testing.T) {
+	g, err := Parse("canteen.hcl", []byte(example(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]string{"gateways": "2", "cold.time": "5000", "further.share": "0.2", "key.rest": "100",
+		"plans.count": "3", "plans.2.limit": "60", "products.count": "4", "products.2.kind": "referenced", "products.2.group": "shard",
+		"products.0.goal": "300", "units.mean": "1", "retry_after.most": "1000", "second_copies": "true"} {
+		if g.Terms[name] != want {
+			t.Errorf("%s is %q, not %q", name, g.Terms[name], want)
+		}
+	}
+	if g.Caps[3] != (Limit{60, 60, 2}) || len(g.Caps) != 1 || g.StopBy != 10*time.Second || g.Extent != 256<<10 {
+		t.Errorf("%+v", g)
+	}
+	if u := g.Units.Of(32 << 10); u != 2 {
+		t.Errorf("32 KiB are %v units", u)
+	}
+}
+
+// The first rule that fits names the product: by operation, pattern and size.
+func TestRules(t *testing.T) {
+	g, err := Parse("c.hcl", []byte(strings.Replace(example(t), "volume \"orders\" {", `volume "orders" {
+  product "bulk-read" {
+    for   = ["read"]
+    match = "exports/*"
+  }
+  product "bulk-read" {
+    for    = ["read"]
+    larger = "1MiB"
+  }`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		sort front.Sort
+		rel  string
+		size uint64
+		want string
+	}{{front.Read, "exports/may", 1, "bulk-read"}, {front.Read, "a", 1 << 20, "order-read"}, {front.Read, "a", 1<<20 + 1, "bulk-read"},
+		{front.Write, "exports/may", 1 << 30, "order-write"}, {front.Change, "a", 0, "order-change"}} {
+		if p := g.Volumes["orders"].Product(c.sort, layout.Path{Volume: "orders", Rel: c.rel}, c.size); p.Name != c.want {
+			t.Errorf("%s of %s with %d bytes is %s", c.sort, c.rel, c.size, p.Name)
+		}
+	}
+}
+
+// What is wrong is refused, with its place and a hint.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`listen   = "127.0.0.1:2022"`, ``, "listen"},
+		{`shards   = 3`, `shards = 0`, "not between 1 and 65536"},
+		{`shards   = 3`, `shards = 2.5`, "not a whole number"},
+		{`shards   = 3`, `shards = "three"`, "Not a number"},
+		{`extent   = "256KiB"`, `extent = "1KiB"`, "not between 4096"},
+		{`extent   = "256KiB"`, `extent = "256 kilo"`, "KiB, MiB or GiB"},
+		{`goal     = "300ms"`, `goal = "300"`, `Write for example "300ms"`},
+		{`goal     = "300ms"`, `goal = "9s"`, "cannot have its answer"},
+		{`gateways = 2`, `gatways = 2`, "gatways"},
+		{`plan "standard"`, `plan "priority"`, "already"},
+		{`plan  = "priority"`, `plan = "gold"`, `no plan "gold"`},
+		{`id    = 2`, `id = 1`, "already"},
+		{`window   = "5s"`, ``, "needs a window"},
+		{`group    = "shard"`, `group = "all"`, `group "shard"`},
+		{`in_turn  = true`, ``, "in_turn"},
+		{`for = ["look"]`, `for = ["lock"]`, `not "lock"`},
+		{`for = ["write"]`, `for = []`, `no product block for "write"`},
+		{`kind     = "referenced"`, `kind = "safe"`, `not "safe"`},
+		{`gateway "canteen"`, `gateway "a/b"`, "slash"},
+		{`multiple = 2`, `multiple = `, "canteen.hcl"},
+	} {
+		text := example(t)
+		if !strings.Contains(text, c.old) {
+			t.Fatalf("the example has no %q", c.old)
+		}
+		_, err := Parse("canteen.hcl", []byte(strings.Replace(text, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "canteen.hcl:") {
+			t.Errorf("%q in place of %q: %v", c.new, c.old, err)
+		}
+	}
+}
+
+// Every example in the repository is in order.
+func TestExamplesAreInOrder(t *testing.T) {
+	files, _ := filepath.Glob("../../examples/*.hcl")
+	checked := 0
+	for _, f := range files {
+		if strings.HasPrefix(filepath.Base(f), "day") {
+			continue
+		}
+		checked++
+		if _, err := Load(f); err != nil {
+			t.Error(err)
+		}
+	}
+	if checked < 2 {
+		t.Error(fmt.Sprint(checked, " examples found"))
+	}
+}
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -61,7 +61,6 @@
 const (
 	noticed   = 500 * time.Millisecond
 	listDelay = time.Second
-	transit   = 50 * time.Millisecond
 	farewell  = 3 * time.Second // from when a node is listed as draining until it stops, at a replacement
 )
 
@@ -156,7 +155,7 @@
 		return v
 	}
 	span := func(name string) int64 { return int64(number(name) * 1e6) }
-	terms := audit.Terms{Slack: int64(t.script.Slack), Transit: int64(transit), Grace: int64(t.script.Grace), ListDelay: int64(listDelay),
+	terms := audit.Terms{Slack: int64(t.script.Slack), Transit: int64(t.script.Transit), Grace: int64(t.script.Grace), ListDelay: int64(listDelay),
 		KeyRest: span("key.rest"), FurtherFree: number("further.free"), FurtherShare: number("further.share"),
 		FurtherWindow: span("further.window"), ColdFrom: number("cold.from"), ColdTime: span("cold.time"),
 		ColdMultiple: number("cold.multiple"), ColdWindow: span("cold.window"), ColdUnits: number("cold.units"),
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -25,6 +25,7 @@
 	Gateways int           `hcl:"gateways"`
 	Grace    string        `hcl:"grace,optional"`
 	Slack    string        `hcl:"slack,optional"`
+	Transit  string        `hcl:"transit,optional"`
 	Nodes    []nodeForm    `hcl:"node,block"`
 	Clients  []clientForm  `hcl:"client,block"`
 	Troubles []troubleForm `hcl:"trouble,block"`
@@ -107,6 +108,7 @@
 	Gateways int
 	Grace    Span // of drains
 	Slack    Span // after a client's limit during which an answer counts
+	Transit  Span // longest way of an execution from a gateway to a node
 	Nodes    []NodePlan
 	Clients  []ClientPlan
 	Troubles []TroublePlan
@@ -150,7 +152,7 @@
 		}
 		return d
 	}
-	s := &Script{Seed: form.Seed, Length: span(top, "length", form.Length, 0), Config: form.Config, Gateways: form.Gateways,
+	s := &Script{Seed: form.Seed, Transit: span(top, "transit", form.Transit, 50*time.Millisecond), Length: span(top, "length", form.Length, 0), Config: form.Config, Gateways: form.Gateways,
 		Grace: span(top, "grace", form.Grace, 2*time.Second), Slack: span(top, "slack", form.Slack, 250*time.Millisecond)}
 	if s.Gateways < 1 || s.Gateways > 64 || s.Length <= 0 || s.Length > time.Hour {
 		refuse(top, "a day has 1 to 64 gateways and lasts up to an hour")
--- a/internal/front/file.go
+++ b/internal/front/file.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	made := false
-	if r.Version == 0 {
+	if r.Kind == layout.Absent {
 		if flags&sftp.FlagCreate == 0 {
 			return nil, failed(sftp.NoSuchFile, "there is no %s", p)
 		}
@@ -53,13 +53,11 @@
 		if attrs.HasMode {
 			mode = attrs.Mode & sftp.ModeBits
 		}
-		r, made, err = t.make(v, p, &layout.Record{Mode: mode, Modified: t.arrived, Extent: t.front.opt.Extent})
+		r, made, err = t.make(v, p, &layout.Record{Version: r.Version, Mode: mode, Modified: t.arrived,
+			Extent: t.front.opt.Extent})
 		if err != nil {
 			return nil, err
 		}
-		if r.Version == 0 {
-			return nil, dismissal(0, "the file is changed by others")
-		}
 	}
 	if flags&sftp.FlagExcl != 0 && flags&sftp.FlagCreate != 0 && !made {
 		return nil, failed(sftp.Failure, "%s exists", p)
@@ -118,7 +116,7 @@
 	if err != nil {
 		return err
 	}
-	if r.Version == 0 {
+	if r.Kind == layout.Absent {
 		return failed(sftp.NoSuchFile, "%s was removed", f.path)
 	}
 	f.lock.Lock()
@@ -302,9 +300,12 @@
 		}
 		lost = append(lost, next.Merge(placed, next.Size)...)
 		now, ours, err := t.swap(f.volume, f.path, base.Version, &next, t.front.mark()) // each try is a change of its own
-		if err == nil && !ours && now.Version == 0 {
+		if err == nil && !ours && now.State != layout.Live {
+			now, err = t.look(f.volume, f.path)
+		}
+		if err == nil && !ours && now.Kind != layout.File {
 			t.front.drop(f.volume, f.path, values(placed))
-			err = failed(sftp.NoSuchFile, "%s was removed by another", f.path)
+			err = failed(sftp.NoSuchFile, "%s was removed or renamed by another", f.path)
 		}
 		f.lock.Lock()
 		switch {
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -13,14 +13,19 @@
 // tries is how often a change of a record is put on top of others' changes before its client is told to come back.
 const tries = 8
 
-// look reads a record. A record with Version 0 is absent. One that is moving has its move brought to an end first.
+// look reads a record. One that is in a move has that brought to its end first.
 func (t *task) look(v *Volume, p layout.Path) (*layout.Record, *failure) {
 	for range tries {
 		r, err := t.glance(v, p)
-		if err != nil || r.State != layout.Moving {
+		if err != nil || r.State != layout.Moving && r.State != layout.Arriving {
 			return r, err
 		}
-		if err := t.finishMove(v, p, r); err != nil {
+		if r.State == layout.Moving {
+			_, err = t.finishMove(v, p, r)
+		} else {
+			err = t.arrive(v, p, r)
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -38,8 +43,8 @@
 }
 
 func decode(p layout.Path, a node.Answer) (*layout.Record, *failure) {
-	if a.Version == 0 {
-		return &layout.Record{}, nil
+	if len(a.Data) == 0 {
+		return &layout.Record{Kind: layout.Absent, Version: a.Version}, nil
 	}
 	r, err := layout.Decode(a.Data, a.Version)
 	if err != nil {
@@ -62,10 +67,10 @@
 	}
 	if a.Code == node.Conflict {
 		now, err := decode(p, a)
-		return now, err == nil && to != nil && now.Version > 0 && now.Mark == mark, err
+		return now, err == nil && to != nil && now.Kind != layout.Absent && now.Mark == mark, err
 	}
 	if to == nil {
-		return &layout.Record{}, true, nil
+		return &layout.Record{Kind: layout.Absent, Version: a.Version}, true, nil
 	}
 	done := *to
 	done.Version = a.Version
@@ -82,7 +87,7 @@
 	switch {
 	case err != nil:
 		return err
-	case r.Version == 0:
+	case r.Kind == layout.Absent:
 		return failed(sftp.NoSuchFile, "there is no folder %s", dir)
 	case r.Kind != layout.Folder:
 		return failed(sftp.Failure, "%s is no folder", dir)
@@ -92,21 +97,31 @@
 	return nil
 }
 
-// make makes a record where there is none. The folder is looked at before and after: a folder that is being removed
+// make makes a record where there is none, as far as is known at the version that r holds. The folder is looked at before and after: a folder that is being removed
 // is listed only after it was marked, so one of both sees the other.
 func (t *task) make(v *Volume, p layout.Path, r *layout.Record) (*layout.Record, bool, *failure) {
 	if err := t.inFolder(v, p); err != nil {
 		return nil, false, err
 	}
-	mark := t.front.mark()
-	now, ours, err := t.swap(v, p, 0, r, mark)
-	if err != nil || !ours || p.Parent().Rel == "" {
-		return now, ours, err
+	now, ours, seen := (*layout.Record)(nil), false, r.Version
+	for range tries {
+		var err *failure
+		now, ours, err = t.swap(v, p, seen, r, t.front.mark())
+		if err != nil {
+			return nil, false, err
+		}
+		if ours || now.Kind != layout.Absent {
+			break
+		}
+		seen = now.Version // it was there, and was removed
+	}
+	if now.Kind == layout.Absent {
+		return nil, false, dismissal(0, "the name is changed by others all the time")
+	}
+	if !ours || p.Parent().Rel == "" {
+		return now, ours, nil
 	}
 	if gone := t.inFolder(v, p); gone != nil {
-		if gone.code == sftp.Failure && r.Kind == layout.File && len(r.Objects()) > 0 {
-			return now, true, nil // it cannot be told: it stays
-		}
 		t.swap(v, p, now.Version, nil, t.front.mark())
 		return nil, false, gone
 	}
@@ -120,7 +135,7 @@
 		switch {
 		case err != nil:
 			return err
-		case r.Version == 0:
+		case r.Kind == layout.Absent:
 			return failed(sftp.NoSuchFile, "there is no %s", p)
 		case r.Kind == layout.Folder:
 			return failed(sftp.Failure, "%s is a folder", p)
@@ -174,7 +189,7 @@
 	switch {
 	case err != nil:
 		return err
-	case r.Version == 0:
+	case r.Kind == layout.Absent:
 		return failed(sftp.NoSuchFile, "there is no %s", p)
 	case r.Kind != layout.Folder:
 		return failed(sftp.Failure, "%s is no folder", p)
@@ -268,8 +283,10 @@
 	return items[:min(len(items), most)], nil
 }
 
-// rename moves a file. The record at its old place is marked with where it goes, then made at the new place, then
-// removed at the old one. Whoever meets the mark brings the move to its end, so a gateway that dies leaves none.
+// rename moves a file in four changes of records: the old place is marked Moving with where it goes, the new one is
+// made Arriving, the old one is removed, the new one becomes Live. Whoever meets a mark brings the move to its end, so
+// a gateway that dies leaves none. What a version was replaced by never comes back, so the second change happens once
+// at most; and what is Arriving stays until the old place is removed. So a file is never lost, nor there twice.
 func (t *task) rename(v *Volume, from, to layout.Path, replace bool) *failure {
 	if from.Volume != to.Volume {
 		return failed(sftp.OpUnsupported, "files do not move between volumes")
@@ -278,7 +295,7 @@
 	switch {
 	case err != nil:
 		return err
-	case r.Version == 0:
+	case r.Kind == layout.Absent:
 		return failed(sftp.NoSuchFile, "there is no %s", from)
 	case r.Kind == layout.Folder:
 		return failed(sftp.OpUnsupported, "folders cannot be renamed")
@@ -292,7 +309,7 @@
 	switch {
 	case err != nil:
 		return err
-	case there.Version > 0 && (!replace || there.Kind == layout.Folder):
+	case there.Kind != layout.Absent && (!replace || there.Kind == layout.Folder):
 		return failed(sftp.Failure, "%s exists", to)
 	}
 	moving := *r
@@ -304,35 +321,50 @@
 	if !ours {
 		return dismissal(0, "the file is changed by others")
 	}
-	if err := t.finishMove(v, from, marked); err != nil {
+	moved, err := t.finishMove(v, from, marked)
+	if err != nil {
 		return err
 	}
-	if now, err := t.glance(v, from); err == nil && now.Version > 0 && now.State == layout.Live && now.Size == r.Size &&
-		slices.Equal(now.Extents, r.Extents) && now.Version == marked.Version+1 {
-		return dismissal(0, "something else has taken the new name")
+	if !moved {
+		return failed(sftp.Failure, "%s was changed by another, and %s is where it was", to, from)
 	}
 	t.front.drop(v, to, there.Objects())
 	return nil
 }
 
-// finishMove brings a move to its end: forward if the new place is as it was, else back.
-func (t *task) finishMove(v *Volume, from layout.Path, moving *layout.Record) *failure {
+// finishMove brings a move to its end: forward if the new place is as it was, else back. It tells which.
+func (t *task) finishMove(v *Volume, from layout.Path, moving *layout.Record) (moved bool, err *failure) {
 	to, perr := layout.Parse(moving.Target)
 	if perr != nil {
-		return failed(sftp.Failure, "%s moves to %q", from, moving.Target)
+		return false, failed(sftp.Failure, "%s moves to %q", from, moving.Target)
 	}
-	arrived := *moving
-	arrived.State, arrived.Target, arrived.Expected, arrived.Origin = layout.Live, "", 0, moving.Mark
-	there, ours, err := t.swap(v, to, moving.Expected, &arrived, t.front.mark())
+	arriving := *moving
+	arriving.State, arriving.Target, arriving.Expected, arriving.Origin = layout.Arriving, from.String(), moving.Version, moving.Mark
+	there, ours, err := t.swap(v, to, moving.Expected, &arriving, t.front.mark())
 	if err != nil {
-		return err
+		return false, err
 	}
-	if ours || there.Version > 0 && there.Origin == moving.Mark {
-		_, _, err = t.swap(v, from, moving.Version, nil, t.front.mark()) // if it is gone, another has done it
-		return err
+	if ours || there.State == layout.Arriving && there.Origin == moving.Mark {
+		return true, t.arrive(v, to, there)
 	}
 	back := *moving
-	back.State, back.Target, back.Expected = layout.Live, "", 0
-	_, _, err = t.swap(v, from, moving.Version, &back, t.front.mark())
+	back.State, back.Target, back.Expected, back.Origin = layout.Live, "", 0, moving.Mark
+	old, ours, err := t.swap(v, from, moving.Version, &back, t.front.mark())
+	// If the old place is not as it was, another has brought the move to its end, and said so if it was back.
+	return err == nil && !ours && (old.Kind == layout.Absent || old.Origin != moving.Mark), err
+}
+
+// arrive ends a move whose new place stands.
+func (t *task) arrive(v *Volume, to layout.Path, arriving *layout.Record) *failure {
+	from, perr := layout.Parse(arriving.Target)
+	if perr != nil {
+		return failed(sftp.Failure, "%s comes from %q", to, arriving.Target)
+	}
+	if _, _, err := t.swap(v, from, arriving.Expected, nil, t.front.mark()); err != nil { // if it is gone already, good
+		return err
+	}
+	live := *arriving
+	live.State, live.Target, live.Expected = layout.Live, "", 0
+	_, _, err := t.swap(v, to, arriving.Version, &live, t.front.mark())
 	return err
 }
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -530,7 +530,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if record.Version == 0 {
+	if record.Kind == layout.Absent {
 		return nil, failed(sftp.NoSuchFile, "there is no %s", p)
 	}
 	a := attrsOf(record)
@@ -592,7 +592,7 @@
 		if err != nil {
 			return err
 		}
-		if record.Version == 0 {
+		if record.Kind == layout.Absent {
 			return failed(sftp.NoSuchFile, "there is no %s", p)
 		}
 		next := *record
@@ -634,7 +634,7 @@
 		switch {
 		case err != nil:
 			return nil, err
-		case record.Version == 0:
+		case record.Kind == layout.Absent:
 			return nil, failed(sftp.NoSuchFile, "there is no %s", p)
 		case record.Kind != layout.Folder:
 			return nil, failed(sftp.Failure, "%s is no folder", p)
--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -89,15 +89,17 @@
 const (
 	File Kind = iota
 	Folder
+	Absent // there is none; its version is that of its removal, as long as that is known
 )
 
 // State is where a record stands.
 type State uint8
 
 const (
-	Live    State = iota
-	Moving        // on its way to Target, under Mark
-	Closing       // a folder that is about to be removed: nothing is made in it
+	Live     State = iota
+	Moving         // on its way to Target, under Mark
+	Arriving       // on its way from Target, which has to be removed before anything else may happen to it
+	Closing        // a folder that is about to be removed: nothing is made in it
 )
 
 // Extent is a run of a file's bytes. One without an object is a hole.
@@ -108,7 +110,7 @@
 
 // Record is what is known of a file or folder. It is changed by compare-and-set on Version.
 type Record struct {
-	Version  uint64 // 0: there is none
+	Version  uint64
 	Kind     Kind
 	State    State
 	Mode     uint32 // POSIX bits
@@ -116,9 +118,9 @@
 	Modified int64  // nanoseconds since 1970
 	Extent   uint32 // bytes of an extent
 	Mark     string // of the change that made this version
-	Target   string // where it moves, when Moving
-	Expected uint64 // and the version that is replaced there
-	Origin   string // the mark of the move that brought it here
+	Target   string // the other place of a move
+	Expected uint64 // and the version there that the move replaces, or removes
+	Origin   string // the mark of the latest move, whether it came to pass or was taken back
 	Extents  []Extent
 }
 
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -28,7 +28,7 @@
 
 func records(t *rapid.T) *Record {
 	r := &Record{Version: rapid.Uint64Min(1).Draw(t, "version"), Kind: Kind(rapid.IntRange(0, 1).Draw(t, "kind")),
-		State: State(rapid.IntRange(0, 2).Draw(t, "state")), Mode: rapid.Uint32().Draw(t, "mode"), Size: rapid.Uint64().Draw(t, "size"),
+		State: State(rapid.IntRange(0, 3).Draw(t, "state")), Mode: rapid.Uint32().Draw(t, "mode"), Size: rapid.Uint64().Draw(t, "size"),
 		Modified: rapid.Int64().Draw(t, "at"), Extent: rapid.Uint32().Draw(t, "extent"), Expected: rapid.Uint64().Draw(t, "expected"),
 		Mark: rapid.String().Draw(t, "mark"), Target: rapid.String().Draw(t, "target"), Origin: rapid.String().Draw(t, "origin")}
 	for range rapid.IntRange(0, 5).Draw(t, "extents") {
--- a/internal/serve/faults_test.go
+++ b/internal/serve/faults_test.go
@@ -160,6 +160,54 @@
 	}
 }
 
+// Files are renamed by many at once, through two gateways, amid failures: none vanishes and none is there twice. One
+// whose move was cut off half way is brought to its end by whoever meets it.
+func TestRenamesLoseNothing(t *testing.T) {
+	w := testkit.Start(t, testkit.Conf, 3, 2, func(o *standin.Options) { o.Unit = 20 * time.Microsecond })
+	clients := []func(string, string) error{w.Client(0).Rename, w.Client(1).Rename, w.Client(0).Rename}
+	const files, names = 4, 7
+	for i := range files {
+		if err := put(w.Client(0), fmt.Sprintf("/meals/n%d", i), random(uint64(i), 100+i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range w.Nodes {
+		n.Command("fail 0.1")
+	}
+	var all sync.WaitGroup
+	for c, rename := range clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			r := rand.New(rand.NewPCG(uint64(c), 9))
+			for range 60 {
+				rename(fmt.Sprintf("/meals/n%d", r.IntN(names)), fmt.Sprintf("/meals/n%d", r.IntN(names)))
+			}
+		}()
+	}
+	all.Wait()
+	for _, n := range w.Nodes {
+		n.Command("well")
+	}
+	found := map[string]int{}
+	for i := range names {
+		got, err := get(w.Client(1), fmt.Sprintf("/meals/n%d", i))
+		if err == nil {
+			found[string(got)]++
+		} else if !errors.Is(err, os.ErrNotExist) {
+			t.Error(err)
+		}
+	}
+	for i := range files {
+		if n := found[string(random(uint64(i), 100+i))]; n != 1 {
+			t.Errorf("file %d is there %d times", i, n)
+		}
+	}
+	if len(found) != files {
+		t.Errorf("%d contents are there, %d were put", len(found), files)
+	}
+}
+
 // A request whose nodes answer nothing gets its answer when its client's patience ends, others at other nodes are not
 // held up, and a node that a list leaves out gets nothing new.
 func TestHangAndDrain(t *testing.T) {
@@ -373,6 +421,89 @@
 	}
 }
 
+// With the smallest queue of events, hundreds of requests from many connections wait at their sockets; none is dropped.
+func TestFullQueuePushesBack(t *testing.T) {
+	conf := strings.Replace(testkit.Conf, "gateways = 2\n", "gateways = 2\n  limits {\n    queue = 16\n  }\n", 1)
+	w := testkit.Start(t, conf, 2, 1, nil)
+	if err := put(w.Client(0), "/meals/f", nil); err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	for range 8 {
+		conn := dialRaw(t, w, 0)
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			conn.hello()
+			for range 400 {
+				conn.send(sftp.Stat, func(p *sftp.Packet) { p.Text("/meals/f") })
+			}
+			answers := map[uint32]int{}
+			for range 400 {
+				f := conn.next()
+				id, _ := f.ID()
+				answers[id]++
+			}
+			if len(answers) != 400 {
+				t.Errorf("%d of 400 requests have their answer", len(answers))
+			}
+		}()
+	}
+	all.Wait()
+	f, _ := w.Gateways[0].Loop.Figures()
+	sum := int64(0)
+	for _, c := range f.Products {
+		if c.Taken != c.Completed+c.Dismissed+c.WrittenOff+c.Left {
+			t.Errorf("%+v", c)
+		}
+		sum += c.Taken
+	}
+	if sum < 3200 || f.Held != 0 {
+		t.Errorf("%d jobs taken, %d held", sum, f.Held)
+	}
+}
+
+// A client that sends on far ahead of its answers, or leaves far too many unread, loses its connection; others go on.
+func TestClientsThatDoNotKeepStep(t *testing.T) {
+	conf := strings.Replace(testkit.Conf, "gateways = 2\n", `gateways = 2
+  limits {
+    outstanding = 4
+    ahead       = "256KiB"
+    unread      = "256KiB"
+    packet      = "128KiB"
+  }
+`, 1)
+	w := testkit.Start(t, conf, 1, 1, nil)
+	if err := put(w.Client(0), "/meals/f", random(1, 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	ahead := dialRaw(t, w, 0)
+	ahead.hello()
+	handle := ahead.open("/meals/g", sftp.FlagWrite|sftp.FlagCreate)
+	w.Nodes[0].Command("hang")
+	packet := sftp.New(sftp.Write, 9).Text(handle).Uint64(0).Tail(make([]byte, 60_000))
+	err := error(nil)
+	for i := 0; err == nil; i++ {
+		if err = packet.WriteOut(ahead.raw); i > 2000 {
+			t.Fatal("120 MB are taken ahead of their answers")
+		}
+	}
+	w.Nodes[0].Command("well")
+	unread := dialRaw(t, w, 0)
+	unread.hello()
+	handle = unread.open("/meals/f", sftp.FlagRead)
+	read := sftp.New(sftp.Read, 9).Text(handle).Uint64(0).Uint32(100_000)
+	for range 3000 { // 300 MB of answers; the kernel's buffers hold a few
+		if read.WriteOut(unread.raw) != nil {
+			break
+		}
+	}
+	if n, _ := io.Copy(io.Discard, unread.raw); n > 200<<20 {
+		t.Errorf("%d bytes were kept for a client that does not read", n)
+	}
+	testkit.Again(t, "another's", func() error { _, err := w.Client(0).Stat("/meals/f"); return err })
+}
+
 // raw is a connection that sends what a test says.
 type raw struct {
 	t   *testing.T
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -34,7 +34,8 @@
 
 type record struct {
 	version uint64
-	data    []byte
+	data    []byte // none: it was removed, and the version is that of its removal
+	removed time.Time
 }
 
 // mark is an effect that was done, and its answer.
@@ -78,7 +79,7 @@
 	}
 	name, owner, data := string(b[21:21+n]), string(b[21+n:21+n+m]), b[21+n+m:]
 	if b[0] == 'r' {
-		s.records[name] = &record{version, data}
+		s.records[name] = &record{version: version, data: data}
 		s.version = max(s.version, version)
 	} else {
 		s.objects[name] = &object{owner, time.Unix(0, at), data}
@@ -134,12 +135,17 @@
 	a = s.apply(c, now)
 	if keyed {
 		s.marks[c.Mark] = mark{now, a}
-		if len(s.marks)%1024 == 0 {
+		if s.version%1024 == 1 { // marks and removals are forgotten together
 			for name, m := range s.marks {
 				if now.Sub(m.at) >= remember {
 					delete(s.marks, name)
 				}
 			}
+			for name, r := range s.records {
+				if len(r.data) == 0 && now.Sub(r.removed) >= remember {
+					delete(s.records, name)
+				}
+			}
 		}
 	}
 	return a, a.Outcome == node.Served && a.Code == node.Done
@@ -193,12 +199,9 @@
 		if r.version != c.Version {
 			return node.Answer{Outcome: node.Served, Code: node.Conflict, Version: r.version, Data: r.data}
 		}
-		if s.version++; len(c.Data) == 0 {
-			delete(s.records, c.Name)
-		} else {
-			s.records[c.Name] = &record{s.version, slices.Clone(c.Data)}
-			done.Version = s.version
-		}
+		s.version++
+		s.records[c.Name] = &record{s.version, slices.Clone(c.Data), now}
+		done.Version = s.version
 		if err := s.keep('r', c.Name, s.version, now, "", c.Data, len(c.Data) > 0); err != nil {
 			return fail(err)
 		}
@@ -206,7 +209,7 @@
 		prefix := strings.TrimSuffix(c.Name, "/") + "/"
 		done.Data = node.PutItems(page(s.records, c.Owner, int(c.Length), func(name string, r *record) (node.Item, bool) {
 			rest, in := strings.CutPrefix(name, prefix)
-			return node.Item{Name: name, Version: r.version, Data: r.data}, in && !strings.Contains(rest, "/")
+			return node.Item{Name: name, Version: r.version, Data: r.data}, in && len(r.data) > 0 && !strings.Contains(rest, "/")
 		}))
 	case node.Objects:
 		done.Data = node.PutItems(page(s.objects, c.Owner, int(c.Length), func(name string, o *object) (node.Item, bool) {
