--- a/internal/front/file.go
+++ b/internal/front/file.go
@@ -281,7 +281,7 @@
 func (t *task) commit(f *file) *failure {
 	f.commits.Lock()
 	defer f.commits.Unlock()
-	for range tries {
+	for t.patient(f.volume, f.path) {
 		f.lock.Lock()
 		if !f.dirty {
 			f.lock.Unlock()
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -10,12 +10,15 @@
 	"irispost/internal/sftp"
 )
 
-// tries is how often a change of a record is put on top of others' changes before its client is told to come back.
-const tries = 8
+// patient tells whether a task may try once more to put its change of a record on top of others' changes: as long as
+// its client waits.
+func (t *task) patient(v *Volume, p layout.Path) bool {
+	return t.front.opt.Loop.Now() < t.arrived+int64(v.Product(Change, p, 0).Patience)
+}
 
 // look reads a record. One that is in a move has that brought to its end first.
 func (t *task) look(v *Volume, p layout.Path) (*layout.Record, *failure) {
-	for range tries {
+	for t.patient(v, p) {
 		r, err := t.glance(v, p)
 		if err != nil || r.State != layout.Moving && r.State != layout.Arriving {
 			return r, err
@@ -104,7 +107,7 @@
 		return nil, false, err
 	}
 	now, ours, seen := (*layout.Record)(nil), false, r.Version
-	for range tries {
+	for t.patient(v, p) {
 		var err *failure
 		now, ours, err = t.swap(v, p, seen, r, t.front.mark())
 		if err != nil {
@@ -115,7 +118,7 @@
 		}
 		seen = now.Version // it was there, and was removed
 	}
-	if now.Kind == layout.Absent {
+	if now == nil || now.Kind == layout.Absent {
 		return nil, false, dismissal(0, "the name is changed by others all the time")
 	}
 	if !ours || p.Parent().Rel == "" {
@@ -130,7 +133,7 @@
 
 // remove removes a file.
 func (t *task) remove(v *Volume, p layout.Path) *failure {
-	for range tries {
+	for t.patient(v, p) {
 		r, err := t.look(v, p)
 		switch {
 		case err != nil:
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -587,7 +587,7 @@
 			return err
 		}
 	}
-	for range tries {
+	for r.task.patient(v, p) {
 		record, err := r.task.look(v, p)
 		if err != nil {
 			return err
