Keep the process alive and the outcomes right when connections end at any moment

And netpoll frees a connection's buffers under whoever writes to them, which ended the process. Ends are now told once by our own connection, and netpoll's close waits for the writer.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -126,6 +126,12 @@
 	if a := <-out; a.Outcome != node.Reset && a.Outcome != node.Unconnected {
 		t.Errorf("a connection that broke: %+v", a)
 	}
+	n.Command("refuse")
+	for range 50 { // whenever in the connection's beginning it is closed
+		if a := run(c, n.Addr(), node.Call{Op: node.Get, Shard: 0}); a.Outcome != node.Unconnected {
+			t.Errorf("a connection that is closed at once: %+v", a)
+		}
+	}
 	n.Close()
 	if a := run(c, n.Addr(), node.Call{Op: node.Get, Shard: 0}); a.Outcome != node.Unconnected {
 		t.Errorf("nobody there: %+v", a)
--- a/internal/sftp/conn.go
+++ b/internal/sftp/conn.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,12 @@
 	"github.com/cloudwego/netpoll"
 )
 
+// netpoll's own log tells of each connection that breaks; whoever has the connection is told by Closed.
+func init() { netpoll.Configure(netpoll.Config{LoggerOutput: io.Discard}) }
+
+// ErrPeer tells that the peer has closed the connection.
+var ErrPeer = errors.New("the peer closed the connection")
+
 // Bounds are a connection's limits.
 type Bounds struct {
 	Packet   int           // longest packet taken, in bytes
@@ -45,18 +52,49 @@
 	unsent  int
 	sending bool // a batch is on its way to the socket
 	closed  error
+	writing sync.Mutex // held while the socket's buffers are written to
+	dead    bool       // they are gone
 	gone    chan struct{}
+	ended   func(why error) // called once, from elsewhere
 }
 
-// NewConn wraps a netpoll connection and starts to send what is queued on it.
+// NewConn wraps a netpoll connection.
 func NewConn(raw netpoll.Connection, b Bounds) *Conn {
 	c := &Conn{raw: raw, bounds: b, gone: make(chan struct{})}
 	c.wake.L = &c.lock
 	raw.SetWriteTimeout(b.Write)
-	go c.sender()
 	return c
 }
 
+// start starts to send, and has ended called when the connection ends, however that comes.
+func (c *Conn) start(ended func(error)) {
+	c.lock.Lock()
+	c.ended = ended
+	why := c.closed
+	c.lock.Unlock()
+	if why != nil { // it ended before it began
+		go ended(why)
+		return
+	}
+	// netpoll takes a connection's buffers away when that ends, whoever writes to them. The callback that was added last
+	// runs before that is done: it waits for the writer, whose flush has been broken off by then.
+	c.raw.AddCloseCallback(func(netpoll.Connection) error {
+		c.writing.Lock()
+		c.dead = true
+		c.writing.Unlock()
+		c.Close(ErrPeer)
+		return nil
+	})
+	if !c.raw.IsActive() { // it ended before the callback stood
+		c.writing.Lock()
+		c.dead = true
+		c.writing.Unlock()
+		c.Close(ErrPeer)
+		return
+	}
+	go c.sender()
+}
+
 // Gone is closed when the connection is.
 func (c *Conn) Gone() <-chan struct{} { return c.gone }
 
@@ -104,25 +142,36 @@
 		batch := c.queue
 		c.queue, c.unsent, c.sending = nil, 0, true
 		c.lock.Unlock()
-		w := c.raw.Writer()
-		for _, p := range batch {
-			head, tail := p.bytes()
-			_, err := w.WriteBinary(head)
-			if err == nil && len(tail) > 0 {
-				_, err = w.WriteBinary(tail)
-			}
-			if err != nil {
-				c.Close(err)
-				return
-			}
-		}
-		if err := w.Flush(); err != nil {
+		if err := c.write(batch); err != nil {
 			c.Close(err)
 			return
 		}
 	}
 }
 
+// write hands packets to the socket.
+func (c *Conn) write(batch []*Packet) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.dead {
+		return ErrPeer
+	}
+	w := c.raw.Writer()
+	for _, p := range batch {
+		head, tail := p.bytes()
+		if _, err := w.WriteBinary(head); err != nil {
+			return err
+		}
+		if len(tail) == 0 {
+			continue
+		}
+		if _, err := w.WriteBinary(tail); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
 // Close closes the connection, for a reason.
 func (c *Conn) Close(why error) {
 	c.lock.Lock()
@@ -135,9 +184,13 @@
 	}
 	c.closed = why
 	close(c.gone)
+	ended := c.ended
 	c.lock.Unlock()
 	c.wake.Broadcast()
 	c.raw.Close()
+	if ended != nil {
+		go ended(why)
+	}
 }
 
 // Drained waits until what was queued has been handed to the socket, or the time is up.
@@ -243,13 +296,11 @@
 				return context.Background()
 			}
 			v := &served{c, peer(c)}
-			raw.AddCloseCallback(func(netpoll.Connection) error {
-				c.Close(errors.New("the peer closed the connection"))
+			c.start(func(why error) {
 				s.lock.Lock()
 				delete(s.conns, c)
 				s.lock.Unlock()
-				v.peer.Closed(c.Why())
-				return nil
+				v.peer.Closed(why)
 			})
 			return context.WithValue(context.Background(), peerKey{}, v)
 		}))
@@ -293,14 +344,9 @@
 	}
 	c := NewConn(raw, b)
 	p := peer(c)
-	raw.AddCloseCallback(func(netpoll.Connection) error {
-		c.Close(errors.New("the peer closed the connection"))
-		p.Closed(c.Why())
-		return nil
-	})
+	c.start(p.Closed)
 	if err := raw.SetOnRequest(func(context.Context, netpoll.Connection) error { c.serve(p); return nil }); err != nil {
-		c.Close(err)
-		return nil, err
+		c.Close(err) // its peer is told
 	}
 	return c, nil
 }
--- a/internal/sftp/sftp_test.go
+++ b/internal/sftp/sftp_test.go
@@ -135,3 +135,55 @@
 	}
 	return n, err
 }
+
+// flood answers each packet with many, from several goroutines.
+type flood struct{ conn *Conn }
+
+func (f *flood) Packet(Frame) error {
+	for range 4 {
+		go func() {
+			for n := range 50 {
+				f.conn.Send(New(Data, uint32(n)).Tail(make([]byte, n*200)))
+			}
+		}()
+	}
+	return nil
+}
+func (f *flood) Closed(error) {}
+
+// Connections end at any moment, by either side, while much is sent on them: each end is told once, and nothing is
+// written to a connection's buffers after they are gone (which ends the process).
+func TestConnectionsEndAtAnyMoment(t *testing.T) {
+	ended := make(chan error, 4000)
+	s, err := Listen("127.0.0.1:0", DefaultBounds, 0, func(c *Conn) Peer { return &flood{c} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	all := 0
+	for i := range 300 {
+		c, err := Dial(s.Addr(), DefaultBounds, time.Minute, func(c *Conn) Peer { return &echo{c, ended} })
+		if err != nil { // closed before it stood
+			continue
+		}
+		all++
+		for n := range 5 {
+			c.Send(New(Write, uint32(n)).Text("x"))
+		}
+		go func() {
+			time.Sleep(time.Duration(i%60) * 100 * time.Microsecond)
+			if i%3 == 0 {
+				for _, o := range s.Conns() {
+					o.Close(nil)
+				}
+			}
+			c.Close(nil)
+		}()
+	}
+	for range all {
+		<-ended
+	}
+	if len(ended) > 0 {
+		t.Errorf("%d ends were told twice", len(ended))
+	}
+}
