Test the command line

The file commands, check, version and the errors of serve had no test. The program is now made by one function, which a test runs with arguments.

--- a/cmd/irispost/main.go
+++ b/cmd/irispost/main.go
@@ -14,6 +14,14 @@
 var version = "development"
 
 func main() {
+	if err := program().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "irispost:", err)
+		os.Exit(1)
+	}
+}
+
+// program is the command with all its sub-commands.
+func program() *cobra.Command {
 	root := &cobra.Command{
 		Use:   "irispost",
 		Short: "A gateway that schedules a host's reads and writes over storage nodes",
@@ -31,10 +39,7 @@
 				}
 			}})
 	root.AddCommand(fileCommands()...)
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "irispost:", err)
-		os.Exit(1)
-	}
+	return root
 }
 
 // logs adds the flags for logs, and returns what makes the log.
