Capture what the module is told and decides, and replay it to the same decisions

Past failures could not be looked at again. The loop's narrow place now tells a tap of every call and decision; internal/capture writes them in checksummed, packed blocks without ever holding up the loop, internal/replay feeds them to a fresh module and stops at the first difference with the job's story.

--- /dev/null
+++ b/cmd/irispost/capture.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"irispost/internal/capture"
+	"irispost/internal/replay"
+)
+
+// replayFile replays a capture.
+func replayFile(file string, opt replay.Options) (*replay.Report, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	r, err := capture.NewReader(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return replay.Run(r.Next, opt)
+}
+
+func replayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "replay FILE", Args: cobra.ExactArgs(1),
+		Short: "Feed a capture to this build's module and compare each decision"}
+	asJSON := c.Flags().Bool("json", false, "print the report as JSON")
+	until := c.Flags().Duration("until", 0, "stop so long after the module's start; 0: at the end")
+	job := c.Flags().String("job", "", "tell the story of this job")
+	keep := c.Flags().Int("before", 20, "records to show before a difference")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		r, err := replayFile(args[0], replay.Options{Until: int64(*until), Job: *job, Keep: *keep})
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			b, err := json.MarshalIndent(r, "", "  ")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), string(b))
+		} else {
+			show(c, r)
+		}
+		switch {
+		case r.Difference != nil:
+			return errors.New("the module decides otherwise than in the capture")
+		case !r.Same():
+			return errors.New("the capture holds no decision that could be compared")
+		}
+		return nil
+	}
+	return c
+}
+
+func explainCommand() *cobra.Command {
+	c := &cobra.Command{Use: "explain FILE --job ID", Short: "Tell what became of one job, step by step", Args: cobra.ExactArgs(1)}
+	job := c.Flags().String("job", "", "the job, as logs and captures name it")
+	c.MarkFlagRequired("job")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		r, err := replayFile(args[0], replay.Options{Job: *job})
+		if err != nil {
+			return err
+		}
+		if len(r.Story) == 0 {
+			return fmt.Errorf("there is no job %q in the capture", *job)
+		}
+		for _, line := range r.Story {
+			fmt.Fprintln(c.OutOrStdout(), line)
+		}
+		return nil
+	}
+	return c
+}
+
+// show prints a report for people.
+func show(c *cobra.Command, r *replay.Report) {
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintf(w, "gateway %s, build %s, module %s\n", r.Gateway, r.Build, map[bool]string{true: "of the same text as this build's",
+		false: "of ANOTHER text than this build's"}[r.SameModule])
+	fmt.Fprintf(w, "%d records over %.3f s, %d decisions compared; the replay has %s", r.Records, float64(r.Span)/1e9, r.Decisions, r.How)
+	if r.Why != "" {
+		fmt.Fprintf(w, ": %s", r.Why)
+	}
+	fmt.Fprintf(w, "\n\nproduct\tjobs\tcompleted\tin goal\tdismissed\twritten off\tleft\n")
+	for _, p := range r.Products {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", p.Name, p.Jobs, p.Completed, p.InGoal, p.Dismissed, p.WrittenOff, p.Left)
+	}
+	for _, line := range r.Story {
+		fmt.Fprintln(w, line)
+	}
+	d := r.Difference
+	if d == nil {
+		return
+	}
+	fmt.Fprintf(w, "\nFIRST DIFFERENCE at record %d, %.3f ms after the start, job %s\n", d.Record, float64(d.At)/1e6, d.Job)
+	fmt.Fprintf(w, "captured: %+v\nnow:      %+v\n\nbefore it:\n", d.Captured, d.Now)
+	for _, rec := range d.Before {
+		fmt.Fprintf(w, "  %v %s number %d outcome %d\n", rec.Kind, rec.Job, rec.Number, rec.Outcome)
+	}
+	fmt.Fprintln(w, "\nthe job's story:")
+	for _, line := range d.Story {
+		fmt.Fprintln(w, " ", line)
+	}
+}
--- a/cmd/irispost/run.go
+++ b/cmd/irispost/run.go
@@ -202,6 +202,7 @@
 	out := c.Flags().String("report", "", "write the report there, as JSON")
 	seed := c.Flags().Uint64("seed", 0, "another seed than the script's")
 	inside := c.Flags().Bool("inside", false, "run the gateways in this process; they are processes of their own otherwise")
+	captures := c.Flags().String("capture", "", "folder for captures of the gateways' modules")
 	verbose := c.Flags().Bool("gateway-logs", false, "show the gateways' logs")
 	c.RunE = func(c *cobra.Command, args []string) error {
 		s, err := day.Load(args[0])
@@ -217,6 +218,11 @@
 				return err
 			}
 		}
+		if *captures != "" {
+			if opt.Capture, err = filepath.Abs(*captures); err != nil {
+				return err
+			}
+		}
 		if *verbose {
 			opt.Log = c.ErrOrStderr()
 		}
--- /dev/null
+++ b/internal/capture/file.go
@@ -0,0 +1,331 @@
+package capture
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/klauspost/compress/zstd"
+
+	"irispost/decide"
+	"irispost/internal/listing"
+)
+
+// A capture is its magic with the version, then blocks. A block is its head (lengths raw and packed, the time of its
+// first record, its number of records, a checksum of head and body) and a zstd frame of records.
+const (
+	magic     = "IRISCAP1"
+	magicName = "IRISCAP"
+	blockHead = 4 + 4 + 8 + 4 + 8
+	mostBlock = 64 << 20 // raw; a longer one is not believed
+)
+
+// Limits bound a recorder.
+type Limits struct {
+	Block  int           // raw bytes of a block, about
+	Flush  time.Duration // a block is closed after this time at the latest; so much is lost when a gateway is killed
+	Behind int           // blocks that may wait for the disk; one more is dropped and counted
+	Most   int64         // bytes of a capture; then it ends
+}
+
+// DefaultLimits are used where nothing else is said.
+var DefaultLimits = Limits{Block: 256 << 10, Flush: 200 * time.Millisecond, Behind: 16, Most: 1 << 30}
+
+// Recorder writes a capture. Its calls come from one goroutine, the loop's, and never wait for the disk.
+type Recorder struct {
+	limits  Limits
+	lock    sync.Mutex // buf and count: the loop's, and the flush's
+	buf     []byte
+	count   int
+	first   decide.Time
+	lost    int // records dropped since the last block that was handed on
+	blocks  chan block
+	done    chan struct{}
+	stop    chan struct{}
+	once    sync.Once
+	written atomic.Int64
+	dropped atomic.Int64
+	err     error // the writer's, read after done
+}
+
+type block struct {
+	raw   []byte
+	first decide.Time
+	count int
+}
+
+// NewRecorder writes a capture to out, which is closed with it.
+func NewRecorder(out io.WriteCloser, name, build string, l Limits) *Recorder {
+	r := &Recorder{limits: l, blocks: make(chan block, max(l.Behind, 1)), done: make(chan struct{}), stop: make(chan struct{})}
+	go r.writer(out)
+	go r.flusher()
+	r.add(&Record{Kind: Header, Name: name, Build: build, Digest: xxhash.Sum64(decide.Text)})
+	return r
+}
+
+// Create writes a capture to a new file.
+func Create(file, name, build string, l Limits) (*Recorder, error) {
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("capture: %w", err)
+	}
+	return NewRecorder(f, name, build, l), nil
+}
+
+// add adds a record to the open block.
+func (r *Recorder) add(rec *Record) {
+	r.lock.Lock()
+	if r.count == 0 {
+		r.first = rec.At
+	}
+	r.buf = appendRecord(r.buf, rec)
+	r.count++
+	if len(r.buf) >= r.limits.Block {
+		r.hand()
+	}
+	r.lock.Unlock()
+}
+
+// hand hands the open block to the writer, or drops it if too many wait; the lock is held. A block that follows dropped
+// ones begins with how many records are missing.
+func (r *Recorder) hand() {
+	if r.count == 0 {
+		return
+	}
+	raw, count := r.buf, r.count
+	if r.lost > 0 {
+		raw = append(appendRecord(nil, &Record{Kind: Gap, At: r.first, Dropped: r.lost}), raw...)
+		count++
+	}
+	select {
+	case r.blocks <- block{raw, r.first, count}:
+		r.lost = 0
+	default:
+		r.lost += r.count
+		r.dropped.Add(int64(r.count))
+	}
+	r.buf, r.count = make([]byte, 0, r.limits.Block+r.limits.Block/4), 0
+}
+
+func (r *Recorder) flusher() {
+	tick := time.NewTicker(r.limits.Flush)
+	defer tick.Stop()
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-tick.C:
+			r.lock.Lock()
+			r.hand()
+			r.lock.Unlock()
+		}
+	}
+}
+
+// writer packs blocks and writes them. What cannot be written ends the capture, not the gateway.
+func (r *Recorder) writer(out io.WriteCloser) {
+	defer close(r.done)
+	pack, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	if err == nil {
+		_, err = io.WriteString(out, magic)
+		r.written.Store(int64(len(magic)))
+	}
+	for b := range r.blocks {
+		if err != nil {
+			r.dropped.Add(int64(b.count))
+			continue
+		}
+		frame := packBlock(pack, b)
+		if r.written.Load()+int64(len(frame)) > r.limits.Most {
+			err = fmt.Errorf("it has reached %d bytes, the most that it may have", r.limits.Most)
+			last := appendRecord(nil, &Record{Kind: End, At: b.first, Name: "full: " + err.Error()})
+			out.Write(packBlock(pack, block{last, b.first, 1}))
+			r.dropped.Add(int64(b.count))
+			continue
+		}
+		_, err = out.Write(frame)
+		r.written.Add(int64(len(frame)))
+	}
+	r.err = errors.Join(err, out.Close())
+}
+
+func packBlock(pack *zstd.Encoder, b block) []byte {
+	out := pack.EncodeAll(b.raw, make([]byte, blockHead, blockHead+len(b.raw)/3))
+	binary.BigEndian.PutUint32(out, uint32(len(b.raw)))
+	binary.BigEndian.PutUint32(out[4:], uint32(len(out)-blockHead))
+	binary.BigEndian.PutUint64(out[8:], uint64(b.first))
+	binary.BigEndian.PutUint32(out[16:], uint32(b.count))
+	binary.BigEndian.PutUint64(out[20:], sum(out[:20], out[blockHead:]))
+	return out
+}
+
+// sum is the checksum of a block's head and body.
+func sum(head, body []byte) uint64 {
+	h := xxhash.New()
+	h.Write(head)
+	h.Write(body)
+	return h.Sum64()
+}
+
+// Status is how a capture stands.
+type Status struct {
+	Written int64 // bytes
+	Dropped int64 // records
+}
+
+// Status tells how the capture stands.
+func (r *Recorder) Status() Status { return Status{r.written.Load(), r.dropped.Load()} }
+
+// Close ends the capture and waits until it is written.
+func (r *Recorder) Close(now decide.Time) error {
+	r.once.Do(func() {
+		close(r.stop)
+		r.add(&Record{Kind: End, At: now, Name: "closed"})
+		r.lock.Lock()
+		if r.count > 0 {
+			raw, count := r.buf, r.count
+			if r.lost > 0 {
+				raw, count = append(appendRecord(nil, &Record{Kind: Gap, At: r.first, Dropped: r.lost}), raw...), count+1
+			}
+			r.blocks <- block{raw, r.first, count} // the loop has ended: here the disk may be waited for
+			r.buf, r.count = nil, 0
+		}
+		close(r.blocks)
+		r.lock.Unlock()
+	})
+	<-r.done
+	return r.err
+}
+
+// The recorder's calls by the loop. Each is what the module is told at that moment.
+
+// Start tells of the module's start.
+func (r *Recorder) Start(now decide.Time, seed uint64, t decide.Terms) {
+	r.add(&Record{Kind: Start, At: now, Seed: seed, Terms: t})
+}
+
+// Listed tells of a list.
+func (r *Recorder) Listed(now decide.Time, l listing.List) {
+	r.add(&Record{Kind: Listed, At: now, Stale: l.Stale, Nodes: l.Nodes})
+}
+
+// Take tells of a job.
+func (r *Recorder) Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool) {
+	r.add(&Record{Kind: Take, At: now, Job: j.ID, Volume: volume, Plan: plan, Product: product, Hosts: hosts, Keyed: keyed,
+		Units: j.Units, Shard: j.Shard, Key: j.Key, Write: j.Write, StopBy: j.StopBy})
+}
+
+// Ended tells of an execution's outcome, with the node's load report.
+func (r *Recorder) Ended(now decide.Time, job string, number int, o decide.Outcome, took decide.Time, final bool, others float64,
+	inflight int, latency decide.Time) {
+	r.add(&Record{Kind: Ended, At: now, Job: job, Number: number, Outcome: o, Took: took, Final: final, Others: others,
+		Inflight: inflight, Latency: latency})
+}
+
+// Left tells that a client has gone.
+func (r *Recorder) Left(now decide.Time, job string) { r.add(&Record{Kind: Left, At: now, Job: job}) }
+
+// Decided tells what the module decided.
+func (r *Recorder) Decided(now decide.Time, d *decide.Decision) {
+	r.add(&Record{Kind: Decided, At: now, Decision: DecisionOf(d)})
+}
+
+// Reader reads a capture, block by block: one that is longer than memory is no trouble.
+type Reader struct {
+	in      *bufio.Reader
+	unpack  *zstd.Decoder
+	rest    []byte
+	offset  int64 // of the block that is read next
+	records int64
+	ended   string // of the End record
+	begun   bool
+}
+
+// ErrCut tells that a capture stops without its end; what was read until then is whole.
+var ErrCut = errors.New("the capture is cut off")
+
+// NewReader reads a capture.
+func NewReader(in io.Reader) (*Reader, error) {
+	unpack, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(mostBlock))
+	if err != nil {
+		return nil, err
+	}
+	r := &Reader{in: bufio.NewReaderSize(in, 1<<20), unpack: unpack}
+	head := make([]byte, len(magic))
+	if _, err := io.ReadFull(r.in, head); err != nil {
+		return nil, fmt.Errorf("%w before its first block", ErrCut)
+	}
+	if string(head[:len(magicName)]) != magicName {
+		return nil, errors.New("this is no capture")
+	}
+	if string(head) != magic {
+		return nil, fmt.Errorf("the capture has version %q, this build reads %q", head[len(magicName):], magic[len(magicName):])
+	}
+	r.offset = int64(len(magic))
+	return r, nil
+}
+
+// Next reads the next record. The end is io.EOF; a capture that stops elsewhere is ErrCut or ErrDamaged, with the place.
+func (r *Reader) Next() (*Record, error) {
+	for len(r.rest) == 0 {
+		if err := r.block(); err != nil {
+			return nil, err
+		}
+	}
+	rec, rest, err := nextRecord(r.rest)
+	if err != nil {
+		return nil, r.stopped(err)
+	}
+	if !r.begun && rec.Kind != Header {
+		return nil, r.stopped(fmt.Errorf("%w: it begins with %v", ErrDamaged, rec.Kind))
+	}
+	r.begun, r.rest = true, rest
+	r.records++
+	if rec.Kind == End {
+		r.ended = rec.Name
+	}
+	return rec, nil
+}
+
+func (r *Reader) stopped(err error) error {
+	return fmt.Errorf("%w (after %d whole records, in the block at byte %d)", err, r.records, r.offset)
+}
+
+// block reads the next block.
+func (r *Reader) block() error {
+	head := make([]byte, blockHead)
+	n, err := io.ReadFull(r.in, head)
+	switch {
+	case err == io.EOF && r.ended != "":
+		return io.EOF
+	case err != nil && n == 0:
+		return r.stopped(ErrCut)
+	case err != nil:
+		return r.stopped(fmt.Errorf("%w inside the head of a block", ErrCut))
+	}
+	raw, packed := binary.BigEndian.Uint32(head), binary.BigEndian.Uint32(head[4:])
+	if raw > mostBlock || packed > mostBlock {
+		return r.stopped(fmt.Errorf("%w: a block of %d bytes", ErrDamaged, raw))
+	}
+	body := make([]byte, packed)
+	if _, err := io.ReadFull(r.in, body); err != nil {
+		return r.stopped(fmt.Errorf("%w inside a block", ErrCut))
+	}
+	if sum(head[:20], body) != binary.BigEndian.Uint64(head[20:]) {
+		return r.stopped(fmt.Errorf("%w: a block's checksum does not fit", ErrDamaged))
+	}
+	out, err := r.unpack.DecodeAll(body, make([]byte, 0, raw))
+	if err != nil || len(out) != int(raw) {
+		return r.stopped(fmt.Errorf("%w: a block does not unpack: %v", ErrDamaged, err))
+	}
+	r.rest = out
+	r.offset += int64(blockHead) + int64(packed)
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 	"github.com/zclconf/go-cty/cty"
 
 	"irispost/decide"
+	"irispost/internal/capture"
 	"irispost/internal/front"
 	"irispost/internal/gateway"
 	"irispost/internal/sftp"
@@ -49,6 +50,7 @@
 		StopBy   hcl.Expression `hcl:"stop_by,optional"`
 		Limits   *limitsForm    `hcl:"limits,block"`
 		Sweep    *sweepForm     `hcl:"sweep,block"`
+		Capture  *captureForm   `hcl:"capture,block"`
 		Range    hcl.Range      `hcl:",def_range"`
 	}
 	limitsForm struct {
@@ -65,6 +67,12 @@
 		Every hcl.Expression `hcl:"every,optional"`
 		Idle  hcl.Expression `hcl:"idle,optional"`
 	}
+	captureForm struct {
+		Folder hcl.Expression `hcl:"folder"`
+		Most   hcl.Expression `hcl:"most,optional"`
+		Flush  hcl.Expression `hcl:"flush,optional"`
+		Behind hcl.Expression `hcl:"behind,optional"`
+	}
 	unitsForm struct {
 		Bytes   hcl.Expression `hcl:"bytes,optional"`
 		Least   hcl.Expression `hcl:"least,optional"`
@@ -158,6 +166,8 @@
 	Units    front.Units
 	Sweep    time.Duration // 0: no sweeps
 	Idle     time.Duration // objects that nobody wrote for so long are swept, where nothing refers to them
+	Captures string        // the folder for captures; empty: none is made
+	Capture  capture.Limits
 	Products map[string]*Product
 	Volumes  map[string]*front.Volume
 	Caps     map[int64]Limit // by volume, where its plan has a limit
@@ -337,6 +347,17 @@
 		g.Sweep = r.span(b.Sweep.Every, second, 24*time.Hour, 10*time.Minute)
 		g.Idle = r.span(b.Sweep.Idle, second, 30*24*time.Hour, time.Hour)
 	}
+	if c := b.Capture; c != nil {
+		l := capture.DefaultLimits
+		g.Captures = r.text(c.Folder, "")
+		if g.Captures == "" {
+			r.refuse(c.Folder.Range(), "No folder", "A capture needs a folder to lie in.")
+		}
+		l.Most = r.size(c.Most, 1<<20, 1<<40, l.Most)
+		l.Flush = r.span(c.Flush, 10*time.Millisecond, time.Minute, l.Flush)
+		l.Behind = r.count(c.Behind, 1, 4096, l.Behind)
+		g.Capture = l
+	}
 	g.Units = front.Units{Bytes: float64(r.size(f.Units.Bytes, 1, 1<<30, 16<<10)), Least: r.number(f.Units.Least, 1e-3, 1e6, 0.25)}
 	t := decide.Terms{"number": "0", "discovery": "told", "tells.others": "true"}
 	t["gateways"] = strconv.Itoa(r.count(b.Gateways, 1, 1<<20, 1))
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -55,6 +55,7 @@
 	Program string    // the irispost program, for gateways as processes of their own; empty: in this process
 	Log     io.Writer // of the gateways
 	Note    func(format string, args ...any)
+	Capture string // folder for the gateways' captures; empty: none
 }
 
 // noticed is how long after a change at a node the list tells of it, and delay how long until gateways have it.
@@ -276,6 +277,11 @@
 	text := head + fmt.Sprintf("gateway %q", h.name) + rest
 	text = strings.Replace(text, fmt.Sprintf("%q", t.conf.Nodes), fmt.Sprintf("%q", filepath.Join(t.dir, "nodes.hcl")), 1)
 	text = strings.Replace(text, fmt.Sprintf("%q", t.conf.Listen), `"127.0.0.1:0"`, 1)
+	if t.opt.Capture != "" {
+		at := strings.Index(text, fmt.Sprintf("gateway %q", h.name))
+		at += strings.IndexByte(text[at:], '{') + 1
+		text = text[:at] + fmt.Sprintf("\n  capture {\n    folder = %q\n  }\n", t.opt.Capture) + text[at:]
+	}
 	if err := os.WriteFile(h.file, []byte(text), 0o644); err != nil {
 		return err
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -63,6 +63,7 @@
 	Clock Clock
 	Nodes *node.Client
 	Log   *slog.Logger
+	Tap   Tap // nil: nobody listens
 }
 
 // job is a job of the module's, with what the loop holds for it.
@@ -108,6 +109,7 @@
 func Start(opt Options) *Loop {
 	l := &Loop{opt: opt, events: make(chan event, max(opt.Queue, 1)), jobs: map[*decide.Job]*job{},
 		quit: make(chan struct{}), ended: make(chan struct{}), figures: Figures{Products: map[string]*Counts{}}}
+	l.module.tap = opt.Tap
 	l.module.start(opt.Clock.Now(), opt.Seed, opt.Terms)
 	go l.run()
 	return l
@@ -325,7 +327,7 @@
 		j.why = a.Text
 	}
 	served := o == decide.Served && !j.over
-	l.module.ended(now, e.decided, o, served || j.over, a.Others)
+	l.module.ended(now, e.decided, o, served || j.over, a)
 	if served {
 		l.finish(j, Result{State: decide.Completed, Answer: a})
 	}
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -6,35 +6,76 @@
 	"irispost/internal/node"
 )
 
+// Tap is told all that the module is told, and what it decides, in the same order.
+type Tap interface {
+	Start(now decide.Time, seed uint64, terms decide.Terms)
+	Listed(now decide.Time, l listing.List)
+	Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool)
+	Ended(now decide.Time, job string, number int, o decide.Outcome, took decide.Time, final bool, others float64, inflight int,
+		latency decide.Time)
+	Left(now decide.Time, job string)
+	Decided(now decide.Time, d *decide.Decision)
+}
+
 // module is the one narrow place through which the decision module is told things and asked. Nothing else calls it,
 // and it is handed nothing that does not pass here: no clock, no chance, no order but that of these calls.
 type module struct {
 	gateway *decide.Gateway
+	tap     Tap // nil: none
 }
 
 func (m *module) start(now decide.Time, seed uint64, terms decide.Terms) {
+	if m.tap != nil {
+		m.tap.Start(now, seed, terms)
+	}
 	m.gateway = decide.New(now, seed, terms)
 }
 
 func (m *module) listed(now decide.Time, l listing.List) {
-	m.gateway.Listing(now, true, l.Stale)
+	if m.tap != nil {
+		m.tap.Listed(now, l)
+	}
+	Tell(m.gateway, now, l)
+}
+
+// Tell tells a module of a list.
+func Tell(g *decide.Gateway, now decide.Time, l listing.List) {
+	g.Listing(now, true, l.Stale)
 	for _, n := range l.Nodes {
-		m.gateway.Listed(n.Addr, n.Zone, n.Shard, n.Born, standings[n.Standing])
+		g.Listed(n.Addr, n.Zone, n.Shard, n.Born, standings[n.Standing])
 	}
-	m.gateway.ListDone()
+	g.ListDone()
 }
 
 func (m *module) take(now decide.Time, j *decide.Job, w *Work) {
+	if m.tap != nil {
+		m.tap.Take(now, j, w.Volume.ID, w.Volume.Plan, w.Product, w.Volume.Hosts, w.Keyed)
+	}
 	m.gateway.Take(now, j, w.Volume.ID, w.Volume.Plan, w.Product, w.Volume.Hosts, w.Keyed)
 }
 
-func (m *module) ended(now decide.Time, e *decide.Execution, o decide.Outcome, final bool, others float64) {
-	m.gateway.Ended(now, e.Job.ID, e.Number, o, now-e.Sent, final, others)
+func (m *module) ended(now decide.Time, e *decide.Execution, o decide.Outcome, final bool, a node.Answer) {
+	took := now - e.Sent
+	if m.tap != nil {
+		m.tap.Ended(now, e.Job.ID, e.Number, o, took, final, a.Others, a.Inflight, int64(a.Latency))
+	}
+	m.gateway.Ended(now, e.Job.ID, e.Number, o, took, final, a.Others)
 }
 
-func (m *module) left(now decide.Time, j *decide.Job) { m.gateway.Left(now, j.ID) }
+func (m *module) left(now decide.Time, j *decide.Job) {
+	if m.tap != nil {
+		m.tap.Left(now, j.ID)
+	}
+	m.gateway.Left(now, j.ID)
+}
 
-func (m *module) decide(now decide.Time) *decide.Decision { return m.gateway.Decide(now) }
+func (m *module) decide(now decide.Time) *decide.Decision {
+	d := m.gateway.Decide(now)
+	if m.tap != nil {
+		m.tap.Decided(now, d)
+	}
+	return d
+}
 
 var standings = map[listing.Standing]decide.Standing{listing.Ready: decide.Ready, listing.Draining: decide.Draining,
 	listing.Gone: decide.Gone}
--- /dev/null
+++ b/internal/replay/replay.go
@@ -0,0 +1,313 @@
+// Package replay feeds a capture to a fresh module and compares what it decides. It does no I/O of its own: records come
+// from whoever reads them.
+package replay
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"irispost/decide"
+	"irispost/internal/capture"
+	"irispost/internal/gateway"
+	"irispost/internal/listing"
+)
+
+// State is how a replay stands. Only Replay.move changes it.
+type State uint8
+
+const (
+	Waiting State = iota // for the module's start
+	Running
+	Parted // the module decided otherwise than in the capture
+	Gapped // records are missing from here on; a module cannot be brought over a gap
+	Ended  // the capture was read to its end
+	Cut    // the capture stops without its end; all that was there has been replayed
+)
+
+func (s State) String() string {
+	return [...]string{"waiting", "running", "parted", "gapped", "ended", "cut"}[s]
+}
+
+// Product counts a product's jobs by what became of them.
+type Product struct {
+	Name       string `json:"name"`
+	Jobs       int    `json:"jobs"`
+	Completed  int    `json:"completed"`
+	InGoal     int    `json:"in_goal"`
+	Dismissed  int    `json:"dismissed"`
+	WrittenOff int    `json:"written_off"`
+	Left       int    `json:"left"`
+}
+
+// Difference is the first place where the module decided otherwise.
+type Difference struct {
+	Record   int64
+	At       decide.Time
+	Captured capture.Decision
+	Now      capture.Decision
+	Before   []capture.Record // the latest records before it
+	Job      string           // the first job that is decided on otherwise
+	Story    []string         // of that job
+}
+
+// Options narrow a replay.
+type Options struct {
+	Until decide.Time // stop there, counted from the module's start; 0: at the end
+	Job   string      // keep the story of this job
+	Keep  int         // records to keep before a difference
+}
+
+// Report is what a replay came to.
+type Report struct {
+	State      State       `json:"-"`
+	How        string      `json:"state"`
+	Why        string      `json:"why,omitempty"` // of a cut or gap
+	Gateway    string      `json:"gateway"`
+	Build      string      `json:"build"`
+	SameModule bool        `json:"same_module"` // the capture's module has this build's text
+	Records    int64       `json:"records"`
+	Decisions  int64       `json:"decisions"`
+	Span       decide.Time `json:"span_ns"`
+	Products   []*Product  `json:"products"`
+	Difference *Difference `json:"difference,omitempty"`
+	Story      []string    `json:"story,omitempty"`
+	from       decide.Time
+}
+
+// Replay is a replay under way.
+type Replay struct {
+	opt      Options
+	report   Report
+	module   *decide.Gateway
+	products map[string]*Product
+	jobs     map[string]*job
+	goals    map[string]decide.Time
+	before   []capture.Record
+}
+
+// job is what the replay knows of a job that is not over.
+type job struct {
+	product *Product
+	goalBy  decide.Time
+	story   []string
+}
+
+// New begins a replay.
+func New(opt Options) *Replay {
+	if opt.Keep == 0 {
+		opt.Keep = 20
+	}
+	return &Replay{opt: opt, products: map[string]*Product{}, jobs: map[string]*job{}, goals: map[string]decide.Time{}}
+}
+
+// Run replays all records that next brings, until the end, a difference or a gap.
+func Run(next func() (*capture.Record, error), opt Options) (*Report, error) {
+	r := New(opt)
+	for r.report.State < Parted {
+		rec, err := next()
+		switch {
+		case err == io.EOF:
+			r.move(Ended, "")
+		case errors.Is(err, capture.ErrCut), errors.Is(err, capture.ErrDamaged):
+			r.move(Cut, err.Error())
+		case err != nil:
+			return nil, err
+		default:
+			if err := r.Feed(rec); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return r.Report(), nil
+}
+
+// move is the one place where the replay changes state.
+func (r *Replay) move(to State, why string) {
+	r.report.State, r.report.Why = to, why
+}
+
+// Feed takes one record.
+func (r *Replay) Feed(rec *capture.Record) error {
+	if r.opt.Until > 0 && r.module != nil && rec.At-r.report.from > r.opt.Until {
+		r.move(Ended, "the time asked for")
+		return nil
+	}
+	r.report.Records++
+	if r.module != nil {
+		r.report.Span = rec.At - r.report.from
+	}
+	switch rec.Kind {
+	case capture.Header:
+		r.report.Gateway, r.report.Build = rec.Name, rec.Build
+		r.report.SameModule = rec.Digest == xxhash.Sum64(decide.Text)
+		return nil
+	case capture.Start:
+		r.start(rec)
+		return nil
+	case capture.Gap:
+		r.move(Gapped, fmt.Sprintf("%d records were dropped here", rec.Dropped))
+		return nil
+	case capture.End:
+		return nil
+	}
+	if r.module == nil {
+		return fmt.Errorf("record %d (%v) comes before the module's start", r.report.Records, rec.Kind)
+	}
+	switch rec.Kind {
+	case capture.Listed:
+		gateway.Tell(r.module, rec.At, listing.List{Stale: rec.Stale, Nodes: rec.Nodes})
+	case capture.Take:
+		r.take(rec)
+	case capture.Ended:
+		r.tell(rec.Job, rec.At, "execution %d: %s after %.1f ms (the node held %d jobs, its latency %.1f ms)", rec.Number,
+			outcome(rec.Outcome), float64(rec.Took)/1e6, rec.Inflight, float64(rec.Latency)/1e6)
+		if j := r.jobs[rec.Job]; j != nil && rec.Final && rec.Outcome == decide.Served {
+			j.product.Completed++
+			if rec.At <= j.goalBy {
+				j.product.InGoal++
+			}
+			r.tell(rec.Job, rec.At, "completed")
+			delete(r.jobs, rec.Job)
+		}
+		r.module.Ended(rec.At, rec.Job, rec.Number, rec.Outcome, rec.Took, rec.Final, rec.Others)
+	case capture.Left:
+		if j := r.jobs[rec.Job]; j != nil {
+			j.product.Left++
+			r.tell(rec.Job, rec.At, "its client has gone")
+			delete(r.jobs, rec.Job)
+		}
+		r.module.Left(rec.At, rec.Job)
+	case capture.Decided:
+		r.decided(rec)
+	}
+	r.before = append(r.before, *rec)
+	if len(r.before) > 2*r.opt.Keep {
+		r.before = append(r.before[:0], r.before[r.opt.Keep:]...)
+	}
+	return nil
+}
+
+func (r *Replay) start(rec *capture.Record) {
+	r.module = decide.New(rec.At, rec.Seed, rec.Terms)
+	r.report.from = rec.At
+	for i := 0; ; i++ {
+		item := fmt.Sprintf("products.%d.", i)
+		name, there := rec.Terms[item+"name"]
+		if !there {
+			break
+		}
+		var ms float64
+		fmt.Sscan(rec.Terms[item+"goal"], &ms)
+		r.goals[name] = decide.Time(ms * 1e6)
+	}
+	r.move(Running, "")
+}
+
+func (r *Replay) take(rec *capture.Record) {
+	p := r.products[rec.Product]
+	if p == nil {
+		p = &Product{Name: rec.Product}
+		r.products[rec.Product] = p
+		r.report.Products = append(r.report.Products, p)
+	}
+	p.Jobs++
+	r.jobs[rec.Job] = &job{product: p, goalBy: rec.At + r.goals[rec.Product]}
+	r.tell(rec.Job, rec.At, "taken: %s of volume %d (%s), %.2f units, shard %d", rec.Product, rec.Volume, rec.Plan, rec.Units, rec.Shard)
+	j := &decide.Job{ID: rec.Job, Units: rec.Units, Shard: rec.Shard, Key: rec.Key, Write: rec.Write, StopBy: rec.StopBy}
+	r.module.Take(rec.At, j, rec.Volume, rec.Plan, rec.Product, rec.Hosts, rec.Keyed)
+}
+
+// tell adds to a job's story.
+func (r *Replay) tell(id string, at decide.Time, format string, args ...any) {
+	line := fmt.Sprintf("%10.3f ms  ", float64(at-r.report.from)/1e6) + fmt.Sprintf(format, args...)
+	if id == r.opt.Job {
+		r.report.Story = append(r.report.Story, line)
+	}
+	if j := r.jobs[id]; j != nil {
+		j.story = append(j.story, line)
+	}
+}
+
+// decided asks the module and compares.
+func (r *Replay) decided(rec *capture.Record) {
+	r.report.Decisions++
+	now := capture.DecisionOf(r.module.Decide(rec.At))
+	if !now.Equal(rec.Decision) {
+		d := &Difference{Record: r.report.Records, At: rec.At - r.report.from, Captured: rec.Decision, Now: now,
+			Before: slices.Clone(r.before[max(0, len(r.before)-r.opt.Keep):])}
+		if d.Job = firstJob(rec.Decision, now); d.Job != "" {
+			if j := r.jobs[d.Job]; j != nil {
+				d.Story = j.story
+			}
+		}
+		r.report.Difference = d
+		r.move(Parted, "")
+		return
+	}
+	for _, e := range now.Sent {
+		r.tell(e.Job, rec.At, "execution %d is sent to %s", e.Number, e.Node)
+	}
+	for _, e := range now.CallOff {
+		r.tell(e.Job, rec.At, "execution %d is called off", e.Number)
+	}
+	for _, a := range now.Ended {
+		r.tell(a.Job, rec.At, "%s, to come back in %.0f ms", gateway.StateName(a.State), float64(a.Wait)/1e6)
+		if j := r.jobs[a.Job]; j != nil {
+			if a.State == decide.Dismissed {
+				j.product.Dismissed++
+			} else {
+				j.product.WrittenOff++
+			}
+			delete(r.jobs, a.Job)
+		}
+	}
+}
+
+// firstJob is the first job that two decisions treat otherwise.
+func firstJob(a, b capture.Decision) string {
+	for i := range max(len(a.Ended), len(b.Ended)) {
+		if i >= len(a.Ended) {
+			return b.Ended[i].Job
+		}
+		if i >= len(b.Ended) || a.Ended[i] != b.Ended[i] {
+			return a.Ended[i].Job
+		}
+	}
+	for _, pair := range [][2][]capture.Execution{{a.Sent, b.Sent}, {a.CallOff, b.CallOff}} {
+		for i := range max(len(pair[0]), len(pair[1])) {
+			if i >= len(pair[0]) {
+				return pair[1][i].Job
+			}
+			if i >= len(pair[1]) || pair[0][i] != pair[1][i] {
+				return pair[0][i].Job
+			}
+		}
+	}
+	return ""
+}
+
+var outcomes = [...]string{decide.Out: "out", decide.Served: "served", decide.Erred: "failed", decide.Full: "turned away as full",
+	decide.TimedOut: "timed out", decide.Unconnected: "no connection", decide.Reset: "the connection broke",
+	decide.CalledOff: "called off", decide.Moot: "not this shard"}
+
+func outcome(o decide.Outcome) string {
+	if int(o) < len(outcomes) {
+		return outcomes[o]
+	}
+	return fmt.Sprintf("outcome %d", o)
+}
+
+// Report is what the replay has come to.
+func (r *Replay) Report() *Report {
+	r.report.How = r.report.State.String()
+	slices.SortFunc(r.report.Products, func(a, b *Product) int { return cmp.Compare(a.Name, b.Name) })
+	return &r.report
+}
+
+// Same tells whether all that could be replayed was decided as in the capture.
+func (r *Report) Same() bool { return r.Difference == nil && r.Decisions > 0 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"path/filepath"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"irispost/internal/capture"
 	"irispost/internal/config"
 	"irispost/internal/front"
 	"irispost/internal/gateway"
@@ -23,6 +26,7 @@
 	Config *config.Gateway
 	Loop   *gateway.Loop
 	Front  *front.Front
+	record *capture.Recorder // nil: none
 	nodes  *node.Client
 	log    *slog.Logger
 	cancel context.CancelFunc
@@ -43,8 +47,19 @@
 	bounds := sftp.DefaultBounds
 	bounds.Packet = max(2*c.Limits.Wire.Packet, 4<<20) // a node's listing may be longer than a client's packet
 	g := &Gateway{Config: c, log: log, nodes: node.NewClient(c.Connect, c.Each, bounds, log)}
+	clock := gateway.NewClock()
+	var tap gateway.Tap
+	if c.Captures != "" {
+		file := filepath.Join(c.Captures, fmt.Sprintf("%s-%s.iriscap", c.Name, time.Now().UTC().Format("20060102T150405.000000")))
+		record, err := capture.Create(file, c.Name, build(), c.Capture)
+		if err != nil {
+			return nil, err
+		}
+		log.Info("capture begins", "gateway", c.Name, "file", file)
+		g.record, tap = record, record
+	}
 	g.Loop = gateway.Start(gateway.Options{Name: c.Name, Seed: c.Seed, Terms: c.Terms, Queue: c.Queue,
-		Clock: gateway.NewClock(), Nodes: g.nodes, Log: log})
+		Clock: clock, Nodes: g.nodes, Log: log, Tap: tap})
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	first, once := make(chan struct{}), sync.Once{}
@@ -129,4 +144,17 @@
 	g.Loop.Stop()
 	g.nodes.Close()
 	g.done.Wait()
+	if g.record != nil {
+		err := g.record.Close(g.Loop.Now())
+		s := g.record.Status()
+		g.log.Info("capture ends", "gateway", g.Config.Name, "bytes", s.Written, "dropped", s.Dropped, "why", err)
+	}
+}
+
+// build names the build, for captures.
+func build() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version + " " + info.GoVersion
+	}
+	return "unknown"
 }
