--- a/cmd/irispost/capture.go
+++ b/cmd/irispost/capture.go
@@ -79,6 +79,36 @@
 	return c
 }
 
+func captureCommand() *cobra.Command {
+	c := &cobra.Command{Use: "capture", Short: "Work on captures"}
+	redact := &cobra.Command{Use: "redact FILE NEW", Args: cobra.ExactArgs(2),
+		Short: "Copy a capture with its names replaced by keyed hashes; it replays the same"}
+	key := redact.Flags().String("key-file", "", "a file with the key, 16 bytes or more")
+	redact.MarkFlagRequired("key-file")
+	redact.RunE = func(_ *cobra.Command, args []string) error {
+		secret, err := os.ReadFile(*key)
+		if err != nil {
+			return err
+		}
+		in, err := os.Open(args[0])
+		if err != nil {
+			return err
+		}
+		defer in.Close()
+		r, err := capture.NewReader(in)
+		if err != nil {
+			return fmt.Errorf("%s: %w", args[0], err)
+		}
+		out, err := os.OpenFile(args[1], os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+		if err != nil {
+			return err
+		}
+		return errors.Join(capture.Redact(r, out, secret), out.Close())
+	}
+	c.AddCommand(redact)
+	return c
+}
+
 // show prints a report for people.
 func show(c *cobra.Command, r *replay.Report) {
 	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
--- a/cmd/irispost/main.go
+++ b/cmd/irispost/main.go
@@ -30,7 +30,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), nodeCommand(), demoCommand(), dayCommand(), benchCommand(), replayCommand(), explainCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), nodeCommand(), demoCommand(), dayCommand(), benchCommand(), replayCommand(), explainCommand(), captureCommand(),
 		&cobra.Command{Use: "version", Short: "Tell which build this is", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) {
 				fmt.Fprintln(c.OutOrStdout(), "irispost", version)
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -256,45 +256,38 @@
 	if err := os.WriteFile(filepath.Join(dir, "nodes.hcl"), list, 0o644); err != nil {
 		return err
 	}
-	file := filepath.Join(dir, "bench.hcl")
-	if err := os.WriteFile(file, []byte(conf), 0o644); err != nil {
-		return err
-	}
-	gateway := exec.Command(program, "serve", "--config", file, "--cpu-profile", profile)
-	pipe, err := gateway.StdoutPipe()
+	through, err := start(dir, "bench", conf, program, profile)
 	if err != nil {
 		return err
 	}
-	if err := gateway.Start(); err != nil {
-		return err
-	}
-	defer func() { gateway.Process.Signal(syscall.SIGTERM); gateway.Wait() }()
-	line, err := bufio.NewReader(pipe).ReadString('\n')
-	if err != nil {
-		return fmt.Errorf("the gateway does not start: %w", err)
-	}
-	through, err := open(strings.TrimSpace(line[strings.LastIndexByte(strings.TrimSpace(line), ' ')+1:]), "/v/")
+	defer through.stop()
+	captured, err := start(dir, "captured", strings.Replace(strings.Replace(conf, "\"bench\"", "\"captured\"", 1), "  limits {",
+		fmt.Sprintf("  capture {\n    folder = %q\n  }\n  limits {", dir), 1), program, "")
 	if err != nil {
 		return err
 	}
+	defer captured.stop()
 	straight, err := open(n.Addr(), "plain")
 	if err != nil {
 		return err
 	}
+	jobs := 0.0 // of the one that is captured
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "request\tbytes\tout\tstraight/s\tthrough/s\tratio\tp50 added us\tp99 added us\tgateway cpu us\tfailed\t")
+	fmt.Fprintln(w, "request\tbytes\tout\tstraight/s\tthrough/s\tratio\tp50 added us\tp99 added us\tgateway cpu us\tcaptured/through\tfailed\t")
 	for _, t := range []sftp.Type{sftp.Read, sftp.Write} {
 		for _, bytes := range []int{4 << 10, 32 << 10} {
 			for _, outstanding := range []int{1, 16, 256} {
-				var a, b []figures
+				var a, b, with []figures
 				for range max(rounds, 1) {
 					a = append(a, straight.measure(t, bytes, outstanding, each, 0))
-					b = append(b, through.measure(t, bytes, outstanding, each, gateway.Process.Pid))
+					b = append(b, through.side.measure(t, bytes, outstanding, each, through.cmd.Process.Pid))
+					with = append(with, captured.side.measure(t, bytes, outstanding, each, captured.cmd.Process.Pid))
+					jobs += with[len(with)-1].rate * each.Seconds()
 				}
 				name := map[sftp.Type]string{sftp.Read: "read", sftp.Write: "write"}[t]
 				failed := 0
 				for i := range a {
-					failed += a[i].failed + b[i].failed
+					failed += a[i].failed + b[i].failed + with[i].failed
 				}
 				median := func(list []figures, of func(figures) float64) float64 {
 					var v []float64
@@ -307,11 +300,56 @@
 				rate := func(f figures) float64 { return f.rate }
 				p50 := func(f figures) float64 { return f.p50 }
 				p99 := func(f figures) float64 { return f.p99 }
-				fmt.Fprintf(w, "%s\t%d\t%d\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.1f\t%d\t\n", name, bytes, outstanding, median(a, rate),
+				fmt.Fprintf(w, "%s\t%d\t%d\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.1f\t%.2f\t%d\t\n", name, bytes, outstanding, median(a, rate),
 					median(b, rate), median(b, rate)/median(a, rate), median(b, p50)-median(a, p50), median(b, p99)-median(a, p99),
-					median(b, func(f figures) float64 { return f.cpu }), failed)
+					median(b, func(f figures) float64 { return f.cpu }), median(with, rate)/median(b, rate), failed)
 			}
 		}
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "*.iriscap"))
+	for _, f := range files {
+		if info, err := os.Stat(f); err == nil {
+			fmt.Fprintf(out, "the capture has %.1f bytes a job\n", float64(info.Size())/jobs)
+		}
+	}
+	return nil
+}
+
+// process is a gateway in a process of its own, with a client.
+type process struct {
+	cmd  *exec.Cmd
+	side *side
+}
+
+func start(dir, name, conf, program, profile string) (*process, error) {
+	file := filepath.Join(dir, name+".hcl")
+	if err := os.WriteFile(file, []byte(conf), 0o644); err != nil {
+		return nil, err
+	}
+	p := &process{cmd: exec.Command(program, "serve", "--config", file, "--cpu-profile", profile)}
+	pipe, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	line, err := bufio.NewReader(pipe).ReadString('\n')
+	if err != nil {
+		p.stop()
+		return nil, fmt.Errorf("the gateway does not start: %w", err)
+	}
+	p.side, err = open(strings.TrimSpace(line[strings.LastIndexByte(strings.TrimSpace(line), ' ')+1:]), "/v/"+name)
+	if err != nil {
+		p.stop()
+	}
+	return p, err
+}
+
+func (p *process) stop() {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Wait()
 }
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -45,7 +45,10 @@
 	buf     []byte
 	count   int
 	first   decide.Time
-	lost    int // records dropped since the last block that was handed on
+	scratch Record // what is being written down, used again and again
+	names   Decision
+	spare   chan []byte // buffers of blocks that are written
+	lost    int         // records dropped since the last block that was handed on
 	blocks  chan block
 	done    chan struct{}
 	stop    chan struct{}
@@ -63,10 +66,11 @@
 
 // NewRecorder writes a capture to out, which is closed with it.
 func NewRecorder(out io.WriteCloser, name, build string, l Limits) *Recorder {
-	r := &Recorder{limits: l, blocks: make(chan block, max(l.Behind, 1)), done: make(chan struct{}), stop: make(chan struct{})}
+	r := &Recorder{limits: l, blocks: make(chan block, max(l.Behind, 1)), done: make(chan struct{}), stop: make(chan struct{}),
+		spare: make(chan []byte, 2)}
 	go r.writer(out)
 	go r.flusher()
-	r.add(&Record{Kind: Header, Name: name, Build: build, Digest: xxhash.Sum64(decide.Text)})
+	r.add(Record{Kind: Header, Name: name, Build: build, Digest: xxhash.Sum64(decide.Text)})
 	return r
 }
 
@@ -80,8 +84,10 @@
 }
 
 // add adds a record to the open block.
-func (r *Recorder) add(rec *Record) {
+func (r *Recorder) add(with Record) {
 	r.lock.Lock()
+	rec := &r.scratch
+	*rec = with
 	if r.count == 0 {
 		r.first = rec.At
 	}
@@ -111,7 +117,12 @@
 		r.lost += r.count
 		r.dropped.Add(int64(r.count))
 	}
-	r.buf, r.count = make([]byte, 0, r.limits.Block+r.limits.Block/4), 0
+	r.count = 0
+	select {
+	case r.buf = <-r.spare:
+	default:
+		r.buf = make([]byte, 0, r.limits.Block+r.limits.Block/4)
+	}
 }
 
 func (r *Recorder) flusher() {
@@ -137,16 +148,21 @@
 		_, err = io.WriteString(out, magic)
 		r.written.Store(int64(len(magic)))
 	}
+	var frame []byte
 	for b := range r.blocks {
 		if err != nil {
 			r.dropped.Add(int64(b.count))
 			continue
 		}
-		frame := packBlock(pack, b)
+		frame = packBlock(pack, b, frame)
+		select {
+		case r.spare <- b.raw[:0]:
+		default:
+		}
 		if r.written.Load()+int64(len(frame)) > r.limits.Most {
 			err = fmt.Errorf("it has reached %d bytes, the most that it may have", r.limits.Most)
 			last := appendRecord(nil, &Record{Kind: End, At: b.first, Name: "full: " + err.Error()})
-			out.Write(packBlock(pack, block{last, b.first, 1}))
+			out.Write(packBlock(pack, block{last, b.first, 1}, nil))
 			r.dropped.Add(int64(b.count))
 			continue
 		}
@@ -156,8 +172,9 @@
 	r.err = errors.Join(err, out.Close())
 }
 
-func packBlock(pack *zstd.Encoder, b block) []byte {
-	out := pack.EncodeAll(b.raw, make([]byte, blockHead, blockHead+len(b.raw)/3))
+func packBlock(pack *zstd.Encoder, b block, into []byte) []byte {
+	var head [blockHead]byte
+	out := pack.EncodeAll(b.raw, append(into[:0], head[:]...))
 	binary.BigEndian.PutUint32(out, uint32(len(b.raw)))
 	binary.BigEndian.PutUint32(out[4:], uint32(len(out)-blockHead))
 	binary.BigEndian.PutUint64(out[8:], uint64(b.first))
@@ -187,7 +204,7 @@
 func (r *Recorder) Close(now decide.Time) error {
 	r.once.Do(func() {
 		close(r.stop)
-		r.add(&Record{Kind: End, At: now, Name: "closed"})
+		r.add(Record{Kind: End, At: now, Name: "closed"})
 		r.lock.Lock()
 		if r.count > 0 {
 			raw, count := r.buf, r.count
@@ -208,33 +225,34 @@
 
 // Start tells of the module's start.
 func (r *Recorder) Start(now decide.Time, seed uint64, t decide.Terms) {
-	r.add(&Record{Kind: Start, At: now, Seed: seed, Terms: t})
+	r.add(Record{Kind: Start, At: now, Seed: seed, Terms: t})
 }
 
 // Listed tells of a list.
 func (r *Recorder) Listed(now decide.Time, l listing.List) {
-	r.add(&Record{Kind: Listed, At: now, Stale: l.Stale, Nodes: l.Nodes})
+	r.add(Record{Kind: Listed, At: now, Stale: l.Stale, Nodes: l.Nodes})
 }
 
 // Take tells of a job.
 func (r *Recorder) Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool) {
-	r.add(&Record{Kind: Take, At: now, Job: j.ID, Volume: volume, Plan: plan, Product: product, Hosts: hosts, Keyed: keyed,
+	r.add(Record{Kind: Take, At: now, Job: j.ID, Volume: volume, Plan: plan, Product: product, Hosts: hosts, Keyed: keyed,
 		Units: j.Units, Shard: j.Shard, Key: j.Key, Write: j.Write, StopBy: j.StopBy})
 }
 
 // Ended tells of an execution's outcome, with the node's load report.
 func (r *Recorder) Ended(now decide.Time, job string, number int, o decide.Outcome, took decide.Time, final bool, others float64,
 	inflight int, latency decide.Time) {
-	r.add(&Record{Kind: Ended, At: now, Job: job, Number: number, Outcome: o, Took: took, Final: final, Others: others,
+	r.add(Record{Kind: Ended, At: now, Job: job, Number: number, Outcome: o, Took: took, Final: final, Others: others,
 		Inflight: inflight, Latency: latency})
 }
 
 // Left tells that a client has gone.
-func (r *Recorder) Left(now decide.Time, job string) { r.add(&Record{Kind: Left, At: now, Job: job}) }
+func (r *Recorder) Left(now decide.Time, job string) { r.add(Record{Kind: Left, At: now, Job: job}) }
 
 // Decided tells what the module decided.
 func (r *Recorder) Decided(now decide.Time, d *decide.Decision) {
-	r.add(&Record{Kind: Decided, At: now, Decision: DecisionOf(d)})
+	r.names.name(d)
+	r.add(Record{Kind: Decided, At: now, Decision: r.names})
 }
 
 // Reader reads a capture, block by block: one that is longer than memory is no trouble.
--- a/internal/capture/format.go
+++ b/internal/capture/format.go
@@ -105,6 +105,14 @@
 
 // DecisionOf names what the module decided.
 func DecisionOf(d *decide.Decision) (out Decision) {
+	out.name(d)
+	out.Log = slices.Clone(out.Log)
+	return out
+}
+
+// name fills in what the module decided. The log lines are the module's own until its next decision.
+func (out *Decision) name(d *decide.Decision) {
+	out.Ended, out.CallOff, out.Sent = out.Ended[:0], out.CallOff[:0], out.Sent[:0]
 	for _, j := range d.Ended {
 		out.Ended = append(out.Ended, Answer{j.ID, j.State, j.Wait})
 	}
@@ -114,8 +122,7 @@
 	for _, e := range d.Start {
 		out.Sent = append(out.Sent, Execution{e.Job.ID, e.Number, e.Node.Addr, e.Limit})
 	}
-	out.Log, out.Watch, out.NextWake = append([]string(nil), d.Log...), d.Watch, d.NextWake
-	return out
+	out.Log, out.Watch, out.NextWake = d.Log, d.Watch, d.NextWake
 }
 
 // Equal tells whether two decisions are the same.
@@ -309,7 +316,7 @@
 func appendRecord(out []byte, r *Record) []byte {
 	at := len(out)
 	c := coder{out: append(out, 0, 0, 0, 0, 0, 0, 0, 0, byte(r.Kind))}
-	c.record(r)
+	c.record(r) // it only reads
 	body := c.out[at+frameHead:]
 	binary.BigEndian.PutUint32(c.out[at:], uint32(len(body)))
 	binary.BigEndian.PutUint32(c.out[at+4:], uint32(xxhash.Sum64(body)))
--- a/internal/day/client.go
+++ b/internal/day/client.go
@@ -294,8 +294,12 @@
 func (c *client) run(all *sync.WaitGroup) {
 	defer all.Done()
 	var mine sync.WaitGroup
-	next := time.Now()
+	began := time.Now()
+	next := began.Add(c.plan.From)
 	for {
+		if c.plan.Until > 0 && next.After(began.Add(c.plan.Until)) {
+			next = began.Add(24 * time.Hour) // it asks nothing more, and waits for the day's end
+		}
 		next = next.Add(time.Duration(c.rand.ExpFloat64() / c.plan.Rate * float64(time.Second)))
 		select {
 		case <-c.stop:
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -352,6 +352,9 @@
 		}
 		for i := range p.Count {
 			h := t.hosts[(g+i)%len(t.hosts)]
+			if n := slices.IndexFunc(t.hosts, func(h *host) bool { return h.name == p.Gateway }); n >= 0 {
+				h = t.hosts[n]
+			}
 			c := &client{plan: p, name: fmt.Sprintf("%s-%d", p.Name, i), addr: h.where, volume: v, conf: t.conf,
 				record: t.record, totals: totals, stop: make(chan struct{}),
 				rand: rand.New(rand.NewPCG(t.script.Seed, uint64(len(list))+1))}
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -54,6 +54,9 @@
 	Retries int       `hcl:"retries,optional"`
 	Pause   string    `hcl:"pause,optional"`
 	Leaves  string    `hcl:"leaves_after,optional"`
+	Gateway string    `hcl:"gateway,optional"`
+	From    string    `hcl:"from,optional"`
+	Until   string    `hcl:"until,optional"`
 	Range   hcl.Range `hcl:",def_range"`
 }
 
@@ -90,6 +93,9 @@
 	Retries int     // further tries after an answer that is not what was asked for
 	Pause   Span    // before such a try, if the answer gives no time
 	Leaves  Span    // closes its connection with what is out when a request takes longer; 0: never
+	Gateway string  // that they use; empty: spread over all
+	From    Span    // of the day, when they begin
+	Until   Span    // and when they end; 0: at the day's end
 }
 
 // TroublePlan is something that happens at a time.
@@ -176,6 +182,9 @@
 		if c.Rate <= 0 || c.Rate > 1e5 {
 			refuse(c.Range, "rate = %v is not over 0 and up to 100000", c.Rate)
 		}
+		if c.Gateway != "" && !known(c.Gateway, s.Gateways) {
+			refuse(c.Range, "there is no gateway %q, they are called g1 to g%d", c.Gateway, s.Gateways)
+		}
 		if c.Bytes == 0 {
 			c.Bytes = 16 << 10
 		}
@@ -184,7 +193,7 @@
 		}
 		s.Clients = append(s.Clients, ClientPlan{c.Name, max(c.Count, 1), c.Volume, c.Do, c.Rate, c.Bytes, max(c.Files, 1),
 			max(c.Blocks, 1), c.Retries, span(c.Range, "pause", c.Pause, 100*time.Millisecond),
-			span(c.Range, "leaves_after", c.Leaves, 0)})
+			span(c.Range, "leaves_after", c.Leaves, 0), c.Gateway, span(c.Range, "from", c.From, 0), span(c.Range, "until", c.Until, 0)})
 	}
 	for _, t := range form.Troubles {
 		word, _, _ := strings.Cut(t.Do, " ")
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,427 @@
+package replay
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"irispost/decide"
+	"irispost/internal/capture"
+	"irispost/internal/listing"
+)
+
+func open(t testing.TB, b []byte) func() (*capture.Record, error) {
+	t.Helper()
+	r, err := capture.NewReader(bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Next
+}
+
+// The captures of past failures replay to the same decisions, ten times over. If the module was changed on purpose,
+// testdata/make.sh makes them anew.
+func TestPastFailuresReplay(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.iriscap")
+	if len(files) != 4 {
+		t.Fatalf("%d captures", len(files))
+	}
+	for _, file := range files {
+		b, err := os.ReadFile(file)
+		if err != nil || len(b) > 200<<10 {
+			t.Fatalf("%s: %d bytes, %v", file, len(b), err)
+		}
+		for range 10 {
+			r, err := Run(open(t, b), Options{})
+			if err != nil || !r.Same() || r.State != Ended || r.Decisions < 500 {
+				t.Fatalf("%s: %v after %d decisions, %v\n%s", file, r.State, r.Decisions, err, place(r))
+			}
+		}
+	}
+}
+
+func place(r *Report) string {
+	if r.Difference == nil {
+		return ""
+	}
+	return fmt.Sprintf("record %d, job %s\ncaptured %+v\nnow      %+v\n%s", r.Difference.Record, r.Difference.Job,
+		r.Difference.Captured, r.Difference.Now, strings.Join(r.Difference.Story, "\n"))
+}
+
+type memory struct{ bytes.Buffer }
+
+func (*memory) Close() error { return nil }
+
+// drive lets chance drive a module with a recorder for so many events, as a gateway would. It returns the time at the
+// end.
+func drive(seed uint64, events int, rec *capture.Recorder) decide.Time {
+	r := rand.New(rand.NewPCG(seed, 5))
+	terms := decide.Terms{"gateways": "2", "units.mean": "1", "units.largest": "4", "executions.most": "3", "calling_off": "true",
+		"second_copies": "true", "retry_after": "true", "retry_after.most": "500", "key.rest": "20", "plans.count": "2",
+		"plans.0.name": "p", "plans.0.rate": "200", "plans.0.reserve": "50", "plans.1.name": "q", "plans.1.limit": "40",
+		"plans.1.burst": "40", "products.count": "2", "products.0.name": "read", "products.0.goal": "100", "products.0.patience": "400",
+		"products.1.name": "write", "products.1.goal": "100", "products.1.patience": "400", "products.1.in_turn": "true"}
+	now := decide.Second
+	rec.Start(now, seed, terms)
+	g := decide.New(now, seed, terms)
+	list := func() {
+		l := listing.List{}
+		for i := range 4 {
+			if r.IntN(8) > 0 {
+				l.Nodes = append(l.Nodes, listing.Node{Addr: fmt.Sprint("n", i), Shard: i, Born: int64(r.IntN(2)) * now})
+			}
+		}
+		rec.Listed(now, l)
+		g.Listing(now, true, false)
+		for _, n := range l.Nodes {
+			g.Listed(n.Addr, n.Zone, n.Shard, n.Born, decide.Ready)
+		}
+		g.ListDone()
+	}
+	list()
+	var out []*decide.Execution
+	for n := range events {
+		now += decide.Time(r.IntN(int(4 * decide.Millisecond)))
+		switch p := r.IntN(100); {
+		case p < 50:
+			product := []string{"read", "write"}[r.IntN(2)]
+			j := &decide.Job{ID: fmt.Sprintf("j%d", n), Units: 0.25 + 2*r.Float64(), Shard: r.IntN(5) - 1, Key: int64(r.IntN(3)),
+				Write: product == "write", StopBy: now + 400*decide.Millisecond}
+			volume, plan := int64(r.IntN(4)), []string{"p", "q"}[r.IntN(2)]
+			rec.Take(now, j, volume, plan, product, 2, product == "write")
+			g.Take(now, j, volume, plan, product, 2, product == "write")
+		case p < 97 && len(out) > 0:
+			i := r.IntN(len(out))
+			e := out[i]
+			out = append(out[:i], out[i+1:]...)
+			o := []decide.Outcome{decide.Served, decide.Served, decide.Served, decide.Erred, decide.TimedOut, decide.Full}[r.IntN(6)]
+			final := e.Job.State.Over() || o == decide.Served
+			rec.Ended(now, e.Job.ID, e.Number, o, now-e.Sent, final, 0.5, 1, 2)
+			g.Ended(now, e.Job.ID, e.Number, o, now-e.Sent, final, 0.5)
+		case p == 98:
+			list()
+		case len(out) > 0:
+			id := out[0].Job.ID
+			rec.Left(now, id)
+			g.Left(now, id)
+		}
+		if r.IntN(3) > 0 {
+			d := g.Decide(now)
+			rec.Decided(now, d)
+			out = append(out, d.Start...)
+			for _, e := range d.CallOff {
+				if e.Outcome == decide.Out {
+					rec.Ended(now, e.Job.ID, e.Number, decide.CalledOff, now-e.Sent, e.Job.State.Over(), 0, 0, 0)
+					g.Ended(now, e.Job.ID, e.Number, decide.CalledOff, now-e.Sent, e.Job.State.Over(), 0)
+				}
+			}
+			kept := out[:0]
+			for _, e := range out {
+				if e.Outcome == decide.Out {
+					kept = append(kept, e)
+				}
+			}
+			out = kept
+		}
+	}
+	return now
+}
+
+func limits() capture.Limits {
+	l := capture.DefaultLimits
+	l.Block = 2 << 10
+	l.Behind = 4096
+	return l
+}
+
+// A capture of a gateway that was killed at any moment, cut at any byte, replays to the same decisions up to its last
+// whole block, and says where it stops.
+func TestKilledAtAnyMoment(t *testing.T) {
+	for seed := range uint64(100) {
+		var m memory
+		rec := capture.NewRecorder(&m, "g", "b", limits())
+		now := drive(seed, 300, rec)
+		if err := rec.Close(now); err != nil {
+			t.Fatal(err)
+		}
+		whole, err := Run(open(t, m.Bytes()), Options{})
+		if err != nil || !whole.Same() || whole.State != Ended {
+			t.Fatalf("seed %d: %v %v %s", seed, whole.State, err, place(whole))
+		}
+		cut := 8 + rand.New(rand.NewPCG(seed, 6)).IntN(m.Len()-8)
+		part, err := Run(open(t, m.Bytes()[:cut]), Options{})
+		if err != nil || part.State != Cut || part.Difference != nil || part.Records > whole.Records ||
+			!strings.Contains(part.Why, "whole records") {
+			t.Fatalf("seed %d, cut at %d of %d: %v %v %q %s", seed, cut, m.Len(), part.State, err, part.Why, place(part))
+		}
+	}
+}
+
+// Each record that can be read is as it was written: with the capture cut at each byte of its last block, and with each
+// byte flipped.
+func TestCutsAndFlips(t *testing.T) {
+	var m memory
+	l := limits()
+	l.Block = 1 << 10
+	rec := capture.NewRecorder(&m, "g", "b", l)
+	rec.Close(drive(1, 40, rec))
+	count := func(b []byte) (n int, sum string, err error) {
+		r, err := capture.NewReader(bytes.NewReader(b))
+		for err == nil {
+			var record *capture.Record
+			if record, err = r.Next(); err == nil {
+				n++
+				sum += fmt.Sprint(*record)
+			}
+		}
+		return n, sum, err
+	}
+	all, text, err := count(m.Bytes())
+	if err != io.EOF {
+		t.Fatal(err)
+	}
+	for cut := range m.Len() {
+		n, sum, err := count(m.Bytes()[:cut])
+		if n >= all || !errors.Is(err, capture.ErrCut) || !strings.HasPrefix(text, sum) {
+			t.Fatalf("cut at %d: %d records of %d, %v", cut, n, all, err)
+		}
+	}
+	for at := range m.Len() {
+		b := bytes.Clone(m.Bytes())
+		b[at] ^= 1 << (at % 8)
+		n, sum, err := count(b)
+		if n >= all || err == io.EOF || !strings.HasPrefix(text, sum) {
+			t.Fatalf("byte %d flipped: %d records of %d are believed, %v", at, n, all, err)
+		}
+	}
+}
+
+// A module that decides otherwise is noticed at the first place, with the job and its story; a capture of another module
+// text says so.
+func TestDifferencesAreFound(t *testing.T) {
+	b, err := os.ReadFile("testdata/failing.iriscap")
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(alter func(*capture.Record)) *Report {
+		next := open(t, b)
+		r, err := Run(func() (*capture.Record, error) {
+			rec, err := next()
+			if err == nil {
+				alter(rec)
+			}
+			return rec, err
+		}, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if r := change(func(*capture.Record) {}); !r.Same() || !r.SameModule {
+		t.Fatalf("%v, same module %v: if decide.go was changed, make the captures anew\n%s", r.State, r.SameModule, place(r))
+	}
+	for name, alter := range map[string]func(*capture.Record){
+		"a shorter goal": func(r *capture.Record) {
+			if r.Kind == capture.Start {
+				r.Terms["products.0.goal"] = "60"
+			}
+		},
+		"another seed": func(r *capture.Record) { r.Seed++ },
+		"a node that is missing": func(r *capture.Record) {
+			if r.Kind == capture.Listed {
+				r.Nodes = r.Nodes[1:]
+			}
+		},
+		"a sending that was not": func(r *capture.Record) {
+			if r.Kind == capture.Decided && len(r.Decision.Sent) > 0 && r.At%7 == 0 {
+				r.Decision.Sent = r.Decision.Sent[1:]
+			}
+		},
+	} {
+		r := change(alter)
+		if r.State != Parted || r.Difference == nil || r.Same() || r.Difference.Captured.Equal(r.Difference.Now) || r.Difference.Record < 3 {
+			t.Errorf("%s: %v %+v", name, r.State, r.Difference)
+		}
+	}
+	if r := change(func(r *capture.Record) { r.Digest++ }); r.SameModule || !r.Same() {
+		t.Errorf("another text: same module %v, same decisions %v", r.SameModule, r.Same())
+	}
+}
+
+// A replay stops at a gap, and says how much is missing; it tells a job's story; it stops at a time asked for.
+func TestGapStoryAndUntil(t *testing.T) {
+	b, err := os.ReadFile("testdata/failing.iriscap")
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, n := open(t, b), 0
+	r, err := Run(func() (*capture.Record, error) {
+		if n++; n == 300 {
+			return &capture.Record{Kind: capture.Gap, Dropped: 17}, nil
+		}
+		return next()
+	}, Options{})
+	if err != nil || r.State != Gapped || !strings.Contains(r.Why, "17 records") {
+		t.Errorf("%v %q %v", r.State, r.Why, err)
+	}
+	job := ""
+	next = open(t, b)
+	for job == "" { // one that was sent twice
+		rec, err := next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range rec.Decision.Sent {
+			if e.Number == 1 {
+				job = e.Job
+			}
+		}
+	}
+	r, err = Run(open(t, b), Options{Job: job})
+	story := strings.Join(r.Story, "\n")
+	for _, want := range []string{"taken:", "execution 0 is sent to", "execution 0: failed", "execution 1 is sent to"} {
+		if !strings.Contains(story, want) {
+			t.Errorf("no %q in\n%s (%v)", want, story, err)
+		}
+	}
+	if r, err := Run(open(t, b), Options{Until: decide.Second}); err != nil || r.Span > decide.Second || r.Decisions == 0 || r.State != Ended {
+		t.Errorf("%v after %d ms, %v", r.State, r.Span/decide.Millisecond, err)
+	}
+}
+
+// slow is a disk that stands still until it is let go.
+type slow struct {
+	memory
+	free chan struct{}
+}
+
+func (s *slow) Write(b []byte) (int, error) {
+	<-s.free
+	return s.memory.Write(b)
+}
+
+// A disk that stands still holds up nobody: blocks are dropped and counted, and the capture says where. A capture that
+// is full ends, and says so.
+func TestSlowAndFullDisks(t *testing.T) {
+	l := limits()
+	l.Behind = 2
+	disk := &slow{free: make(chan struct{})}
+	rec := capture.NewRecorder(disk, "g", "b", l)
+	now := drive(3, 2000, rec)
+	s := rec.Status()
+	if s.Dropped == 0 {
+		t.Error("nothing is dropped while the disk stands still")
+	}
+	close(disk.free)
+	for rec.Status().Written < 1000 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := rec.Close(now); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(open(t, disk.Bytes()), Options{})
+	if err != nil || r.State != Gapped || !strings.Contains(r.Why, fmt.Sprint(s.Dropped)) {
+		t.Errorf("%v %q, %d dropped, %v", r.State, r.Why, s.Dropped, err)
+	}
+	var m memory
+	l = limits()
+	l.Most = 20_000
+	rec = capture.NewRecorder(&m, "g", "b", l)
+	if err := rec.Close(drive(3, 3000, rec)); err == nil || m.Len() > 21_000 {
+		t.Errorf("a full capture has %d bytes, %v", m.Len(), err)
+	}
+	if r, err := Run(open(t, m.Bytes()), Options{}); err != nil || r.State != Ended || !r.Same() {
+		t.Errorf("a full capture: %v %v", r.State, err)
+	}
+}
+
+// A redacted capture holds none of the names, and replays to the same decisions.
+func TestRedacted(t *testing.T) {
+	b, err := os.ReadFile("testdata/cold.iriscap")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{}
+	next := open(t, b)
+	for {
+		rec, err := next()
+		if err != nil {
+			break
+		}
+		for _, n := range rec.Nodes {
+			names[n.Addr] = true
+		}
+		for _, name := range []string{rec.Product, rec.Plan, rec.Name} {
+			names[name] = rec.Kind != capture.End && name != ""
+		}
+	}
+	in, err := capture.NewReader(bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := capture.Redact(in, &out, []byte("a key of enough bytes")); err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(open(t, out.Bytes()), Options{})
+	whole, _ := Run(open(t, b), Options{})
+	if err != nil || !r.Same() || r.State != Ended || r.Decisions != whole.Decisions {
+		t.Errorf("%v after %d of %d decisions, %v %s", r.State, r.Decisions, whole.Decisions, err, place(r))
+	}
+	next = open(t, out.Bytes())
+	for {
+		rec, err := next()
+		if err != nil {
+			break
+		}
+		text := fmt.Sprintf("%+v", *rec)
+		for name, is := range names {
+			if is && len(name) > 2 && strings.Contains(text, name) {
+				t.Fatalf("%q stands in %s", name, text)
+			}
+		}
+		if strings.Contains(rec.Job, "g1/") {
+			t.Fatalf("job %s", rec.Job)
+		}
+	}
+	if _, err := capture.NewRedactor([]byte("short")); err == nil {
+		t.Error("a short key is taken")
+	}
+}
+
+func TestNoCapture(t *testing.T) {
+	for text, want := range map[string]string{"": "cut off", "IRIS": "cut off", "some other file": "no capture", "IRISCAP7....": `"7"`} {
+		if _, err := capture.NewReader(strings.NewReader(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// BenchmarkReplay replays a capture of a million events, made by chance.
+func BenchmarkReplay(b *testing.B) {
+	var m memory
+	l := capture.DefaultLimits
+	l.Behind = 4096
+	rec := capture.NewRecorder(&m, "g", "b", l)
+	if err := rec.Close(drive(1, 800_000, rec)); err != nil {
+		b.Fatal(err)
+	}
+	b.ResetTimer()
+	for range b.N {
+		r, err := Run(open(b, m.Bytes()), Options{})
+		if err != nil || !r.Same() || r.State != Ended {
+			b.Fatal(r.State, err, place(r))
+		}
+		b.ReportMetric(float64(r.Records)/(b.Elapsed().Seconds()/float64(b.N)), "events/s")
+		b.ReportMetric(float64(r.Records), "events")
+		b.ReportMetric(float64(m.Len())/float64(r.Records), "bytes/event")
+		b.ReportMetric(float64(r.Span)/1e9/(b.Elapsed().Seconds()/float64(b.N)), "times-real-time")
+	}
+}
