Begin a capture while serving, and go on after a gap, from the module's full state

A capture could begin only with the gateway, and a gap ended its replay. The recorder now writes the module's state when it begins to listen and after dropped blocks, and a replay begins or goes on there.

--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -16,6 +16,7 @@
 
 	"irispost/decide"
 	"irispost/internal/listing"
+	"irispost/internal/snapshot"
 )
 
 // A capture is its magic with the version, then blocks. A block is its head (lengths raw and packed, the time of its
@@ -53,6 +54,7 @@
 	done    chan struct{}
 	stop    chan struct{}
 	once    sync.Once
+	blind   atomic.Bool // records were dropped, and no state has come since
 	written atomic.Int64
 	dropped atomic.Int64
 	err     error // the writer's, read after done
@@ -112,6 +114,9 @@
 	}
 	select {
 	case r.blocks <- block{raw, r.first, count}:
+		if r.lost > 0 {
+			r.blind.Store(true)
+		}
 		r.lost = 0
 	default:
 		r.lost += r.count
@@ -246,6 +251,20 @@
 		Inflight: inflight, Latency: latency})
 }
 
+// Blind tells whether records were dropped, so that a replay needs the module's state to go on.
+func (r *Recorder) Blind() bool { return r.blind.Load() }
+
+// State tells of the module's full state.
+func (r *Recorder) State(now decide.Time, g *decide.Gateway) {
+	r.blind.Store(false)
+	b, err := snapshot.Take(g)
+	if err != nil {
+		r.add(Record{Kind: Gap, At: now}) // a replay cannot begin here
+		return
+	}
+	r.add(Record{Kind: State, At: now, State: string(b)})
+}
+
 // Left tells that a client has gone.
 func (r *Recorder) Left(now decide.Time, job string) { r.add(Record{Kind: Left, At: now, Job: job}) }
 
--- a/internal/capture/format.go
+++ b/internal/capture/format.go
@@ -28,10 +28,11 @@
 	Decided                 // the module was asked, and decided
 	Gap                     // records were dropped here
 	End                     // the capture was closed; without it, it was cut off
+	State                   // the module's full state: a replay may begin here
 )
 
 func (k Kind) String() string {
-	names := [...]string{"", "header", "start", "list", "take", "ended", "left", "decided", "gap", "end"}
+	names := [...]string{"", "header", "start", "list", "take", "ended", "left", "decided", "gap", "end", "state"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -76,6 +77,8 @@
 	Decision Decision // Decided
 
 	Dropped int // Gap: records
+
+	State string // State: a snapshot of the module
 }
 
 // Decision is what the module decided, by names.
@@ -264,6 +267,8 @@
 		c.count(&r.Dropped)
 	case End:
 		c.text(&r.Name)
+	case State:
+		c.text(&r.State)
 	default:
 		c.bad = true
 	}
--- a/internal/capture/redact.go
+++ b/internal/capture/redact.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -124,6 +125,9 @@
 			}
 			return stopped
 		}
+		if rec.Kind == State {
+			return errors.New("the capture holds a state, which has names that cannot be replaced")
+		}
 		r.Record(rec)
 		if err := w.add(rec); err != nil {
 			return err
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -161,6 +161,21 @@
 	})
 }
 
+// Listen has a tap told of all that passes the module from now on, in place of another; nil: nobody. It returns when that
+// is so.
+func (l *Loop) Listen(t Tap) bool {
+	done := make(chan struct{})
+	if !l.post(func(now decide.Time) { l.module.listen(now, t); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
 // List tells of a list of nodes.
 func (l *Loop) List(list listing.List) {
 	l.post(func(now decide.Time) {
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -15,6 +15,8 @@
 		latency decide.Time)
 	Left(now decide.Time, job string)
 	Decided(now decide.Time, d *decide.Decision)
+	State(now decide.Time, g *decide.Gateway) // asked for when it begins to listen, and when it is blind
+	Blind() bool
 }
 
 // module is the one narrow place through which the decision module is told things and asked. Nothing else calls it,
@@ -31,6 +33,13 @@
 	m.gateway = decide.New(now, seed, terms)
 }
 
+// listen has a tap told of all from now on, or nobody (nil).
+func (m *module) listen(now decide.Time, t Tap) {
+	if m.tap = t; t != nil {
+		t.State(now, m.gateway)
+	}
+}
+
 func (m *module) listed(now decide.Time, l listing.List) {
 	if m.tap != nil {
 		m.tap.Listed(now, l)
@@ -73,6 +82,9 @@
 	d := m.gateway.Decide(now)
 	if m.tap != nil {
 		m.tap.Decided(now, d)
+		if m.tap.Blind() {
+			m.tap.State(now, m.gateway)
+		}
 	}
 	return d
 }
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -15,6 +15,7 @@
 	"irispost/internal/capture"
 	"irispost/internal/gateway"
 	"irispost/internal/listing"
+	"irispost/internal/snapshot"
 )
 
 // State is how a replay stands. Only Replay.move changes it.
@@ -23,14 +24,14 @@
 const (
 	Waiting State = iota // for the module's start
 	Running
+	Gapped // records are missing; it goes on at the next full state
 	Parted // the module decided otherwise than in the capture
-	Gapped // records are missing from here on; a module cannot be brought over a gap
 	Ended  // the capture was read to its end
 	Cut    // the capture stops without its end; all that was there has been replayed
 )
 
 func (s State) String() string {
-	return [...]string{"waiting", "running", "parted", "gapped", "ended", "cut"}[s]
+	return [...]string{"waiting", "running", "gapped", "parted", "ended", "cut"}[s]
 }
 
 // Product counts a product's jobs by what became of them.
@@ -72,6 +73,7 @@
 	SameModule bool        `json:"same_module"` // the capture's module has this build's text
 	Records    int64       `json:"records"`
 	Decisions  int64       `json:"decisions"`
+	Gaps       int         `json:"gaps"`
 	Span       decide.Time `json:"span_ns"`
 	Products   []*Product  `json:"products"`
 	Difference *Difference `json:"difference,omitempty"`
@@ -108,9 +110,11 @@
 // Run replays all records that next brings, until the end, a difference or a gap.
 func Run(next func() (*capture.Record, error), opt Options) (*Report, error) {
 	r := New(opt)
-	for r.report.State < Parted {
+	for r.report.State < Parted { // waiting, running or gapped
 		rec, err := next()
 		switch {
+		case err == io.EOF && r.report.State == Gapped:
+			return r.Report(), nil
 		case err == io.EOF:
 			r.move(Ended, "")
 		case errors.Is(err, capture.ErrCut), errors.Is(err, capture.ErrDamaged):
@@ -150,11 +154,18 @@
 		r.start(rec)
 		return nil
 	case capture.Gap:
-		r.move(Gapped, fmt.Sprintf("%d records were dropped here", rec.Dropped))
+		r.report.Gaps++
+		r.move(Gapped, fmt.Sprintf("%d records were dropped, %.3f s after the start", rec.Dropped, float64(r.report.Span)/1e9))
+		r.module = nil
 		return nil
+	case capture.State:
+		return r.restore(rec)
 	case capture.End:
 		return nil
 	}
+	if r.module == nil && r.report.State == Gapped {
+		return nil // until the next state
+	}
 	if r.module == nil {
 		return fmt.Errorf("record %d (%v) comes before the module's start", r.report.Records, rec.Kind)
 	}
@@ -192,6 +203,23 @@
 	return nil
 }
 
+// restore goes on from a full state. What the replay itself knows of jobs is void.
+func (r *Replay) restore(rec *capture.Record) error {
+	if r.module != nil {
+		return nil // it is there already, and was compared so far
+	}
+	g, err := snapshot.Restore[decide.Gateway]([]byte(rec.State))
+	if err != nil {
+		return fmt.Errorf("record %d, the module's state: %w", r.report.Records, err)
+	}
+	if r.module = g; r.report.from == 0 {
+		r.report.from = rec.At
+	}
+	r.jobs = map[string]*job{}
+	r.move(Running, r.report.Why)
+	return nil
+}
+
 func (r *Replay) start(rec *capture.Record) {
 	r.module = decide.New(rec.At, rec.Seed, rec.Terms)
 	r.report.from = rec.At
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -62,6 +62,16 @@
 // drive lets chance drive a module with a recorder for so many events, as a gateway would. It returns the time at the
 // end.
 func drive(seed uint64, events int, rec *capture.Recorder) decide.Time {
+	return driveFrom(seed, events, 0, rec)
+}
+
+// driveFrom has the recorder listen only after some events, as when a capture is started while serving.
+func driveFrom(seed uint64, events, from int, later *capture.Recorder) decide.Time {
+	var deaf memory
+	rec := later
+	if from > 0 {
+		rec = capture.NewRecorder(&deaf, "g", "b", limits())
+	}
 	r := rand.New(rand.NewPCG(seed, 5))
 	terms := decide.Terms{"gateways": "2", "units.mean": "1", "units.largest": "4", "executions.most": "3", "calling_off": "true",
 		"second_copies": "true", "retry_after": "true", "retry_after.most": "500", "key.rest": "20", "plans.count": "2",
@@ -88,6 +98,10 @@
 	list()
 	var out []*decide.Execution
 	for n := range events {
+		if n == from && from > 0 {
+			rec = later
+			rec.State(now, g)
+		}
 		now += decide.Time(r.IntN(int(4 * decide.Millisecond)))
 		switch p := r.IntN(100); {
 		case p < 50:
@@ -115,6 +129,9 @@
 		if r.IntN(3) > 0 {
 			d := g.Decide(now)
 			rec.Decided(now, d)
+			if rec.Blind() {
+				rec.State(now, g)
+			}
 			out = append(out, d.Start...)
 			for _, e := range d.CallOff {
 				if e.Outcome == decide.Out {
@@ -296,6 +313,49 @@
 	}
 }
 
+// A capture that begins while the gateway serves, at any moment, replays from the module's state to the same decisions.
+func TestBegunWhileServing(t *testing.T) {
+	for seed := range uint64(30) {
+		var m memory
+		rec := capture.NewRecorder(&m, "g", "b", limits())
+		if err := rec.Close(driveFrom(seed, 400, 1+int(seed*13)%390, rec)); err != nil {
+			t.Fatal(err)
+		}
+		r, err := Run(open(t, m.Bytes()), Options{})
+		if err != nil || !r.Same() || r.State != Ended || r.Decisions < 3 {
+			t.Fatalf("seed %d: %v after %d decisions, %v %s", seed, r.State, r.Decisions, err, place(r))
+		}
+	}
+}
+
+// Records that are missing are passed over, and the replay goes on at the next state.
+func TestOverAGap(t *testing.T) {
+	var m memory
+	rec := capture.NewRecorder(&m, "g", "b", limits())
+	if err := rec.Close(driveFrom(7, 600, 300, rec)); err != nil {
+		t.Fatal(err)
+	}
+	b, err := os.ReadFile("testdata/slow.iriscap")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second, n := open(t, b), open(t, m.Bytes()), 0
+	r, err := Run(func() (*capture.Record, error) {
+		switch n++; {
+		case n < 200:
+			return first()
+		case n == 200:
+			return &capture.Record{Kind: capture.Gap, Dropped: 5}, nil
+		case n < 220:
+			return first()
+		}
+		return second()
+	}, Options{})
+	if err != nil || !r.Same() || r.State != Ended || r.Gaps != 1 || r.Decisions < 150 {
+		t.Errorf("%v, %d gaps, %d decisions, %v %s", r.State, r.Gaps, r.Decisions, err, place(r))
+	}
+}
+
 // slow is a disk that stands still until it is let go.
 type slow struct {
 	memory
@@ -327,7 +387,7 @@
 		t.Fatal(err)
 	}
 	r, err := Run(open(t, disk.Bytes()), Options{})
-	if err != nil || r.State != Gapped || !strings.Contains(r.Why, fmt.Sprint(s.Dropped)) {
+	if err != nil || r.State != Gapped || r.Gaps != 1 || !strings.Contains(r.Why, fmt.Sprint(s.Dropped)) {
 		t.Errorf("%v %q, %d dropped, %v", r.State, r.Why, s.Dropped, err)
 	}
 	var m memory
