Start and stop captures while serving, through an admin socket

A capture could only be switched on in the configuration. A Unix socket that only the gateway's user may open takes irispost status and irispost capture start, stop and status; a second capture is refused with the first one's file.

--- a/cmd/irispost/capture.go
+++ b/cmd/irispost/capture.go
@@ -4,11 +4,16 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"path/filepath"
+	"slices"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"irispost/internal/admin"
 	"irispost/internal/capture"
 	"irispost/internal/replay"
 )
@@ -106,6 +111,69 @@
 		return errors.Join(capture.Redact(r, out, secret), out.Close())
 	}
 	c.AddCommand(redact)
+	ask := func(use, short string, do func(*admin.Client, string) (admin.Capture, error)) *cobra.Command {
+		sub := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
+		socket := sub.Flags().String("socket", "irispost.sock", "the gateway's admin socket")
+		folder := ""
+		if use == "start" {
+			sub.Flags().StringVar(&folder, "folder", "", "where the capture goes; empty: as configured")
+		}
+		sub.RunE = func(sub *cobra.Command, _ []string) error {
+			if folder != "" {
+				var err error
+				if folder, err = filepath.Abs(folder); err != nil {
+					return err
+				}
+			}
+			state, err := do(admin.Dial(*socket, 30*time.Second), folder)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(sub.OutOrStdout(), "%s: on %v, %d bytes written, %d records dropped %s\n", state.File, state.On, state.Written,
+				state.Dropped, state.Error)
+			return nil
+		}
+		return sub
+	}
+	c.AddCommand(
+		ask("start", "Start a capture of a gateway that serves", func(a *admin.Client, folder string) (admin.Capture, error) {
+			return a.StartCapture(folder)
+		}),
+		ask("stop", "Stop the capture of a gateway", func(a *admin.Client, _ string) (admin.Capture, error) { return a.StopCapture() }),
+		ask("status", "Tell how the capture of a gateway stands", func(a *admin.Client, _ string) (admin.Capture, error) {
+			s, err := a.Status()
+			return s.Capture, err
+		}))
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	c := &cobra.Command{Use: "status", Short: "Tell how a gateway stands", Args: cobra.NoArgs}
+	socket := c.Flags().String("socket", "irispost.sock", "the gateway's admin socket")
+	asJSON := c.Flags().Bool("json", false, "print it as JSON")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		s, err := admin.Dial(*socket, 5*time.Second).Status()
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			b, err := json.MarshalIndent(s, "", "  ")
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), string(b))
+			return nil
+		}
+		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+		fmt.Fprintf(w, "gateway %s at %s, since %s: %d jobs held, %d executions out, %d late answers dropped\n", s.Gateway, s.Address,
+			s.Since.UTC().Format(time.RFC3339), s.Held, s.Out, s.Late)
+		fmt.Fprintf(w, "capture: on %v %s\n\nproduct\ttaken\tcompleted\tdismissed\twritten off\tleft\n", s.Capture.On, s.Capture.File)
+		for _, name := range slices.Sorted(maps.Keys(s.Products)) {
+			p := s.Products[name]
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\n", name, p.Taken, p.Completed, p.Dismissed, p.WrittenOff, p.Left)
+		}
+		return w.Flush()
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,168 @@
+// Package admin lets a command-line tool speak to a gateway on the same machine: HTTP over a Unix socket that only the
+// gateway's own user may open. It does what it is told by calling the gateway; it decides nothing.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+// Status is how a gateway stands.
+type Status struct {
+	Gateway  string             `json:"gateway"`
+	Address  string             `json:"address"`
+	Since    time.Time          `json:"since"`
+	Held     int                `json:"held"` // jobs without their final answer
+	Out      int                `json:"out"`  // executions out
+	Late     int64              `json:"late"` // answers of nodes that came after their execution was given up
+	Products map[string]Product `json:"products"`
+	Capture  Capture            `json:"capture"`
+}
+
+// Product counts a product's jobs since the gateway's start.
+type Product struct {
+	Taken      int64 `json:"taken"`
+	Completed  int64 `json:"completed"`
+	Dismissed  int64 `json:"dismissed"`
+	WrittenOff int64 `json:"written_off"`
+	Left       int64 `json:"left"`
+}
+
+// Capture is how a gateway's capture stands.
+type Capture struct {
+	On      bool   `json:"on"`
+	File    string `json:"file,omitempty"` // the present or the last one
+	Written int64  `json:"written"`        // bytes
+	Dropped int64  `json:"dropped"`        // records
+	Error   string `json:"error,omitempty"`
+}
+
+// Gateway is what can be asked of a gateway.
+type Gateway interface {
+	Status() (Status, error)
+	StartCapture(folder string) (Capture, error) // folder: empty for the configured one
+	StopCapture() (Capture, error)
+}
+
+// Server serves a gateway's socket.
+type Server struct {
+	http *http.Server
+	path string
+}
+
+// Listen serves at a socket. One that a dead gateway left is replaced; one that is served is not.
+func Listen(path string, g Gateway) (*Server, error) {
+	if conn, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		conn.Close()
+		return nil, fmt.Errorf("admin socket %s is served by another gateway", path)
+	}
+	if info, err := os.Lstat(path); err == nil && info.Mode()&os.ModeSocket == 0 {
+		return nil, fmt.Errorf("admin socket %s: there is a file of another kind", path)
+	}
+	os.Remove(path)
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("admin socket: %w", err)
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("admin socket: %w", err)
+	}
+	mux := http.NewServeMux()
+	answer := func(w http.ResponseWriter, v any, err error) {
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(v)
+	}
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		s, err := g.Status()
+		answer(w, s, err)
+	})
+	mux.HandleFunc("POST /capture/start", func(w http.ResponseWriter, r *http.Request) {
+		var ask struct{ Folder string }
+		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&ask); err != nil {
+			answer(w, nil, fmt.Errorf("bad request: %w", err))
+			return
+		}
+		c, err := g.StartCapture(ask.Folder)
+		answer(w, c, err)
+	})
+	mux.HandleFunc("POST /capture/stop", func(w http.ResponseWriter, _ *http.Request) {
+		c, err := g.StopCapture()
+		answer(w, c, err)
+	})
+	s := &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, path: path}
+	go s.http.Serve(l)
+	return s, nil
+}
+
+// Close stops serving and takes the socket away.
+func (s *Server) Close() {
+	s.http.Close()
+	os.Remove(s.path)
+}
+
+// Client asks a gateway.
+type Client struct{ http http.Client }
+
+// Dial makes a client for a socket. A gateway that hangs is waited for so long.
+func Dial(path string, within time.Duration) *Client {
+	return &Client{http.Client{Timeout: within, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", path)
+		}}}}
+}
+
+// ask does one call and reads its answer.
+func (c *Client) ask(method, path string, body, into any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, "http://gateway"+path, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	r, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("the gateway does not answer: %w", err)
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(r.Body, 16<<20))
+	if err != nil {
+		return err
+	}
+	if r.StatusCode != http.StatusOK {
+		return errors.New(string(bytes.TrimSpace(text)))
+	}
+	return json.Unmarshal(text, into)
+}
+
+// Status asks how the gateway stands.
+func (c *Client) Status() (s Status, err error) {
+	err = c.ask("GET", "/status", nil, &s)
+	return s, err
+}
+
+// StartCapture starts a capture.
+func (c *Client) StartCapture(folder string) (out Capture, err error) {
+	err = c.ask("POST", "/capture/start", map[string]string{"folder": folder}, &out)
+	return out, err
+}
+
+// StopCapture stops the capture.
+func (c *Client) StopCapture() (out Capture, err error) {
+	err = c.ask("POST", "/capture/stop", nil, &out)
+	return out, err
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,6 +49,7 @@
 		Each     hcl.Expression `hcl:"connections_to_node,optional"`
 		StopBy   hcl.Expression `hcl:"stop_by,optional"`
 		Limits   *limitsForm    `hcl:"limits,block"`
+		Admin    string         `hcl:"admin,optional"`
 		Sweep    *sweepForm     `hcl:"sweep,block"`
 		Capture  *captureForm   `hcl:"capture,block"`
 		Range    hcl.Range      `hcl:",def_range"`
@@ -69,6 +70,7 @@
 	}
 	captureForm struct {
 		Folder hcl.Expression `hcl:"folder"`
+		First  *bool          `hcl:"at_start,optional"`
 		Most   hcl.Expression `hcl:"most,optional"`
 		Flush  hcl.Expression `hcl:"flush,optional"`
 		Behind hcl.Expression `hcl:"behind,optional"`
@@ -166,7 +168,9 @@
 	Units    front.Units
 	Sweep    time.Duration // 0: no sweeps
 	Idle     time.Duration // objects that nobody wrote for so long are swept, where nothing refers to them
-	Captures string        // the folder for captures; empty: none is made
+	Admin    string        // the socket for the command-line tool; empty: none
+	Captures string        // the folder for captures; empty: none unless one is asked for
+	AtStart  bool          // a capture begins with the gateway
 	Capture  capture.Limits
 	Products map[string]*Product
 	Volumes  map[string]*front.Volume
@@ -347,8 +351,9 @@
 		g.Sweep = r.span(b.Sweep.Every, second, 24*time.Hour, 10*time.Minute)
 		g.Idle = r.span(b.Sweep.Idle, second, 30*24*time.Hour, time.Hour)
 	}
+	l := capture.DefaultLimits
 	if c := b.Capture; c != nil {
-		l := capture.DefaultLimits
+		g.AtStart = c.First == nil || *c.First
 		g.Captures = r.text(c.Folder, "")
 		if g.Captures == "" {
 			r.refuse(c.Folder.Range(), "No folder", "A capture needs a folder to lie in.")
@@ -356,8 +361,8 @@
 		l.Most = r.size(c.Most, 1<<20, 1<<40, l.Most)
 		l.Flush = r.span(c.Flush, 10*time.Millisecond, time.Minute, l.Flush)
 		l.Behind = r.count(c.Behind, 1, 4096, l.Behind)
-		g.Capture = l
 	}
+	g.Capture, g.Admin = l, b.Admin
 	g.Units = front.Units{Bytes: float64(r.size(f.Units.Bytes, 1, 1<<30, 16<<10)), Least: r.number(f.Units.Least, 1e-3, 1e6, 0.25)}
 	t := decide.Terms{"number": "0", "discovery": "told", "tells.others": "true"}
 	t["gateways"] = strconv.Itoa(r.count(b.Gateways, 1, 1<<20, 1))
--- /dev/null
+++ b/internal/serve/admin.go
@@ -0,0 +1,110 @@
+package serve
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"irispost/internal/admin"
+	"irispost/internal/capture"
+)
+
+// captures is a gateway's capture, if one is on: one at a time.
+type captures struct {
+	lock   sync.Mutex
+	record *capture.Recorder // nil: none
+	last   admin.Capture
+}
+
+// begin opens a new capture. The lock is held, or nobody else knows the gateway yet.
+func (c *captures) begin(g *Gateway, folder string) error {
+	if c.record != nil {
+		return fmt.Errorf("a capture is on already: %s", c.last.File)
+	}
+	if folder == "" {
+		folder = g.Config.Captures
+	}
+	if folder == "" {
+		return errors.New("no folder for captures is configured, name one")
+	}
+	file := filepath.Join(folder, fmt.Sprintf("%s-%s.iriscap", g.Config.Name, time.Now().UTC().Format("20060102T150405.000000")))
+	record, err := capture.Create(file, g.Config.Name, build(), g.Config.Capture)
+	if err != nil {
+		return err
+	}
+	g.log.Info("capture begins", "gateway", g.Config.Name, "file", file)
+	c.record, c.last = record, admin.Capture{On: true, File: file}
+	return nil
+}
+
+// end closes the capture, if one is on.
+func (c *captures) end(g *Gateway) admin.Capture {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.record == nil {
+		return c.last
+	}
+	g.Loop.Listen(nil) // after this the loop calls it no more; a loop that has ended does not either
+	err := c.record.Close(g.Loop.Now())
+	c.now()
+	c.record, c.last.On = nil, false
+	if err != nil {
+		c.last.Error = err.Error()
+	}
+	g.log.Info("capture ends", "gateway", g.Config.Name, "file", c.last.File, "bytes", c.last.Written, "dropped", c.last.Dropped,
+		"why", c.last.Error)
+	return c.last
+}
+
+// now brings the figures up to date; the lock is held.
+func (c *captures) now() admin.Capture {
+	if c.record != nil {
+		s := c.record.Status()
+		c.last.Written, c.last.Dropped = s.Written, s.Dropped
+	}
+	return c.last
+}
+
+// StartCapture starts a capture while the gateway serves: it begins with the module's full state.
+func (g *Gateway) StartCapture(folder string) (admin.Capture, error) {
+	c := &g.captures
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if err := c.begin(g, folder); err != nil {
+		return c.now(), err
+	}
+	if !g.Loop.Listen(c.record) {
+		return c.now(), errors.New("the gateway ends")
+	}
+	return c.now(), nil
+}
+
+// StopCapture ends the capture and waits until it is written.
+func (g *Gateway) StopCapture() (admin.Capture, error) {
+	g.captures.lock.Lock()
+	on := g.captures.record != nil
+	g.captures.lock.Unlock()
+	if !on {
+		return admin.Capture{}, errors.New("no capture is on")
+	}
+	return g.captures.end(g), nil
+}
+
+// Status tells how the gateway stands.
+func (g *Gateway) Status() (admin.Status, error) {
+	f, running := g.Loop.Figures()
+	if !running {
+		return admin.Status{}, errors.New("the gateway ends")
+	}
+	s := admin.Status{Gateway: g.Config.Name, Address: g.Front.Addr(), Since: g.since, Held: f.Held, Out: f.Out, Late: f.Late,
+		Products: map[string]admin.Product{}}
+	for name, c := range f.Products {
+		s.Products[name] = admin.Product(*c)
+	}
+	g.captures.lock.Lock()
+	s.Capture = g.captures.now()
+	g.captures.lock.Unlock()
+	return s, nil
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -5,14 +5,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"path/filepath"
 	"runtime/debug"
 	"sync"
 	"time"
 
-	"irispost/internal/capture"
+	"irispost/internal/admin"
 	"irispost/internal/config"
 	"irispost/internal/front"
 	"irispost/internal/gateway"
@@ -23,14 +22,16 @@
 
 // Gateway is a running gateway.
 type Gateway struct {
-	Config *config.Gateway
-	Loop   *gateway.Loop
-	Front  *front.Front
-	record *capture.Recorder // nil: none
-	nodes  *node.Client
-	log    *slog.Logger
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	Config   *config.Gateway
+	Loop     *gateway.Loop
+	Front    *front.Front
+	since    time.Time
+	admin    *admin.Server // nil: none
+	captures captures
+	nodes    *node.Client
+	log      *slog.Logger
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // Start starts a gateway. A relative name of the list's file counts from base.
@@ -46,20 +47,16 @@
 func StartWith(c *config.Gateway, source listing.Source, log *slog.Logger) (*Gateway, error) {
 	bounds := sftp.DefaultBounds
 	bounds.Packet = max(2*c.Limits.Wire.Packet, 4<<20) // a node's listing may be longer than a client's packet
-	g := &Gateway{Config: c, log: log, nodes: node.NewClient(c.Connect, c.Each, bounds, log)}
-	clock := gateway.NewClock()
+	g := &Gateway{Config: c, log: log, since: time.Now(), nodes: node.NewClient(c.Connect, c.Each, bounds, log)}
 	var tap gateway.Tap
-	if c.Captures != "" {
-		file := filepath.Join(c.Captures, fmt.Sprintf("%s-%s.iriscap", c.Name, time.Now().UTC().Format("20060102T150405.000000")))
-		record, err := capture.Create(file, c.Name, build(), c.Capture)
-		if err != nil {
+	if c.Captures != "" && c.AtStart {
+		if err := g.captures.begin(g, ""); err != nil {
 			return nil, err
 		}
-		log.Info("capture begins", "gateway", c.Name, "file", file)
-		g.record, tap = record, record
+		tap = g.captures.record
 	}
 	g.Loop = gateway.Start(gateway.Options{Name: c.Name, Seed: c.Seed, Terms: c.Terms, Queue: c.Queue,
-		Clock: clock, Nodes: g.nodes, Log: log, Tap: tap})
+		Clock: gateway.NewClock(), Nodes: g.nodes, Log: log, Tap: tap})
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	first, once := make(chan struct{}), sync.Once{}
@@ -85,6 +82,13 @@
 		return nil, err
 	}
 	g.Front = f
+	if c.Admin != "" {
+		if g.admin, err = admin.Listen(c.Admin, g); err != nil {
+			g.Front.Close()
+			g.stopAll()
+			return nil, err
+		}
+	}
 	if c.Sweep > 0 {
 		g.spawn(func() { g.sweep(ctx) })
 	}
@@ -140,15 +144,14 @@
 }
 
 func (g *Gateway) stopAll() {
+	if g.admin != nil {
+		g.admin.Close()
+	}
 	g.cancel()
 	g.Loop.Stop()
 	g.nodes.Close()
 	g.done.Wait()
-	if g.record != nil {
-		err := g.record.Close(g.Loop.Now())
-		s := g.record.Status()
-		g.log.Info("capture ends", "gateway", g.Config.Name, "bytes", s.Written, "dropped", s.Dropped, "why", err)
-	}
+	g.captures.end(g)
 }
 
 // build names the build, for captures.
