Import one instance of a tap of the bench as a capture

The adapter's loop has moved to internal/adapter, where a tap can listen to one instance; capture import plays a tap to this build's modules, writes what one was told and decided, and says where the answers differ from the tap's.

--- a/cmd/irispost/capture.go
+++ b/cmd/irispost/capture.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"irispost/internal/adapter"
 	"irispost/internal/admin"
 	"irispost/internal/capture"
 	"irispost/internal/replay"
@@ -110,7 +112,7 @@
 		}
 		return errors.Join(capture.Redact(r, out, secret), out.Close())
 	}
-	c.AddCommand(redact)
+	c.AddCommand(redact, importCommand())
 	ask := func(use, short string, do func(*admin.Client, string) (admin.Capture, error)) *cobra.Command {
 		sub := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
 		socket := sub.Flags().String("socket", "irispost.sock", "the gateway's admin socket")
@@ -147,6 +149,39 @@
 	return c
 }
 
+func importCommand() *cobra.Command {
+	c := &cobra.Command{Use: "import TAP NEW", Args: cobra.ExactArgs(2),
+		Short: "Make a capture of one instance of a tap of the operators' bench"}
+	number := c.Flags().Int64("instance", 0, "the instance's number")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		in, err := os.Open(args[0])
+		if err != nil {
+			return err
+		}
+		defer in.Close()
+		process, err := adapter.Process(in, *number)
+		if err != nil {
+			return err
+		}
+		if _, err := in.Seek(0, io.SeekStart); err != nil {
+			return err
+		}
+		limits := capture.DefaultLimits
+		limits.Behind, limits.Most = 1<<16, 1<<40 // nothing is served meanwhile: the disk may be waited for
+		rec, err := capture.Create(args[1], fmt.Sprintf("bench-%d", *number), "tap", limits)
+		if err != nil {
+			return err
+		}
+		batches, err := adapter.Import(in, process, *number, rec)
+		if closed := rec.Close(0); closed != nil {
+			return errors.Join(err, closed)
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%d batches of process %d\n", batches, process)
+		return err
+	}
+	return c
+}
+
 func statusCommand() *cobra.Command {
 	c := &cobra.Command{Use: "status", Short: "Tell how a gateway stands", Args: cobra.NoArgs}
 	socket := c.Flags().String("socket", "irispost.sock", "the gateway's admin socket")
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -238,6 +238,23 @@
 	r.add(Record{Kind: Listed, At: now, Stale: l.Stale, Nodes: l.Nodes})
 }
 
+// ListedPart tells of a list that may leave out what has not changed.
+func (r *Recorder) ListedPart(now decide.Time, l listing.List, whole bool) {
+	kind := ListedPart
+	if whole {
+		kind = Listed
+	}
+	r.add(Record{Kind: kind, At: now, Stale: l.Stale, Nodes: l.Nodes})
+}
+
+// ListFailed tells that a list could not be had.
+func (r *Recorder) ListFailed(now decide.Time) { r.add(Record{Kind: ListFailed, At: now}) }
+
+// Begun tells that an execution's answer has begun to flow.
+func (r *Recorder) Begun(now decide.Time, job string, number int) {
+	r.add(Record{Kind: Begun, At: now, Job: job, Number: number})
+}
+
 // Take tells of a job.
 func (r *Recorder) Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool) {
 	r.add(Record{Kind: Take, At: now, Job: j.ID, Volume: volume, Plan: plan, Product: product, Hosts: hosts, Keyed: keyed,
--- a/internal/capture/format.go
+++ b/internal/capture/format.go
@@ -19,20 +19,23 @@
 type Kind uint8
 
 const (
-	Header  Kind = iota + 1 // what is captured: always the first record
-	Start                   // the module was started
-	Listed                  // a list was told
-	Take                    // a job was handed in
-	Ended                   // an execution has ended
-	Left                    // a client has gone
-	Decided                 // the module was asked, and decided
-	Gap                     // records were dropped here
-	End                     // the capture was closed; without it, it was cut off
-	State                   // the module's full state: a replay may begin here
+	Header     Kind = iota + 1 // what is captured: always the first record
+	Start                      // the module was started
+	Listed                     // a list was told
+	Take                       // a job was handed in
+	Ended                      // an execution has ended
+	Left                       // a client has gone
+	Decided                    // the module was asked, and decided
+	Gap                        // records were dropped here
+	End                        // the capture was closed; without it, it was cut off
+	State                      // the module's full state: a replay may begin here
+	ListedPart                 // a list was told that leaves out what has not changed
+	ListFailed                 // a list could not be had
+	Begun                      // an execution's answer has begun to flow
 )
 
 func (k Kind) String() string {
-	names := [...]string{"", "header", "start", "list", "take", "ended", "left", "decided", "gap", "end", "state"}
+	names := [...]string{"", "header", "start", "list", "take", "ended", "left", "decided", "gap", "end", "state", "part of a list", "no list", "begun"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -224,7 +227,7 @@
 	case Start:
 		c.number(&r.Seed)
 		c.terms(&r.Terms)
-	case Listed:
+	case Listed, ListedPart:
 		c.flag(&r.Stale)
 		list(c, &r.Nodes, func(n *listing.Node) {
 			c.text(&n.Addr)
@@ -269,6 +272,10 @@
 		c.text(&r.Name)
 	case State:
 		c.text(&r.State)
+	case ListFailed:
+	case Begun:
+		c.text(&r.Job)
+		c.count(&r.Number)
 	default:
 		c.bad = true
 	}
--- a/internal/capture/redact.go
+++ b/internal/capture/redact.go
@@ -75,7 +75,7 @@
 			t[key] = v
 		}
 		rec.Terms = t
-	case Listed:
+	case Listed, ListedPart:
 		for i := range rec.Nodes {
 			r.name(&rec.Nodes[i].Addr)
 			r.name(&rec.Nodes[i].Zone)
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -44,12 +44,12 @@
 	if m.tap != nil {
 		m.tap.Listed(now, l)
 	}
-	Tell(m.gateway, now, l)
+	Tell(m.gateway, now, l, true)
 }
 
-// Tell tells a module of a list.
-func Tell(g *decide.Gateway, now decide.Time, l listing.List) {
-	g.Listing(now, true, l.Stale)
+// Tell tells a module of a list. One that is not whole leaves out what has not changed.
+func Tell(g *decide.Gateway, now decide.Time, l listing.List, whole bool) {
+	g.Listing(now, whole, l.Stale)
 	for _, n := range l.Nodes {
 		g.Listed(n.Addr, n.Zone, n.Shard, n.Born, standings[n.Standing])
 	}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -142,7 +142,7 @@
 		return nil
 	}
 	r.report.Records++
-	if r.module != nil {
+	if r.module != nil && rec.Kind != capture.End {
 		r.report.Span = rec.At - r.report.from
 	}
 	switch rec.Kind {
@@ -170,8 +170,13 @@
 		return fmt.Errorf("record %d (%v) comes before the module's start", r.report.Records, rec.Kind)
 	}
 	switch rec.Kind {
-	case capture.Listed:
-		gateway.Tell(r.module, rec.At, listing.List{Stale: rec.Stale, Nodes: rec.Nodes})
+	case capture.Listed, capture.ListedPart:
+		gateway.Tell(r.module, rec.At, listing.List{Stale: rec.Stale, Nodes: rec.Nodes}, rec.Kind == capture.Listed)
+	case capture.ListFailed:
+		r.module.ListFailed(rec.At)
+	case capture.Begun:
+		r.tell(rec.Job, rec.At, "execution %d: its answer begins to flow", rec.Number)
+		r.module.Begun(rec.At, rec.Job, rec.Number)
 	case capture.Take:
 		r.take(rec)
 	case capture.Ended:
@@ -222,7 +227,7 @@
 
 func (r *Replay) start(rec *capture.Record) {
 	r.module = decide.New(rec.At, rec.Seed, rec.Terms)
-	r.report.from = rec.At
+	r.report.from, r.jobs = rec.At, map[string]*job{} // of one that was killed, nothing is left
 	for i := 0; ; i++ {
 		item := fmt.Sprintf("products.%d.", i)
 		name, there := rec.Terms[item+"name"]
