--- a/cmd/irispost/capture.go
+++ b/cmd/irispost/capture.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"text/tabwriter"
@@ -40,12 +41,19 @@
 	asJSON := c.Flags().Bool("json", false, "print the report as JSON")
 	until := c.Flags().Duration("until", 0, "stop so long after the module's start; 0: at the end")
 	job := c.Flags().String("job", "", "tell the story of this job")
+	node := c.Flags().String("node", "", "tell what passed at this node")
+	all := c.Flags().Bool("all", false, "go on after a difference, and count")
+	against := c.Flags().String("against", "", "another build of this program: tell where the two part on the capture")
 	keep := c.Flags().Int("before", 20, "records to show before a difference")
 	c.RunE = func(c *cobra.Command, args []string) error {
-		r, err := replayFile(args[0], replay.Options{Until: int64(*until), Job: *job, Keep: *keep})
+		r, err := replayFile(args[0], replay.Options{Until: int64(*until), Job: *job, Node: *node, Keep: *keep,
+			All: *all || *against != ""})
 		if err != nil {
 			return err
 		}
+		if *against != "" {
+			return compare(c, r, *against, args[0], *until)
+		}
 		if *asJSON {
 			b, err := json.MarshalIndent(r, "", "  ")
 			if err != nil {
@@ -66,6 +74,33 @@
 	return c
 }
 
+// compare sets this build's replay beside another's.
+func compare(c *cobra.Command, ours *replay.Report, program, file string, until time.Duration) error {
+	out, err := exec.Command(program, "replay", "--all", "--json", "--until", until.String(), file).Output()
+	var theirs replay.Report
+	if parse := json.Unmarshal(out, &theirs); parse != nil { // it ends with 1 where it differs, and says so in the report
+		return fmt.Errorf("%s: %w", program, errors.Join(err, parse))
+	}
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+	first := func(r *replay.Report) string {
+		if r.Difference == nil {
+			return "none"
+		}
+		return fmt.Sprintf("record %d, %.3f ms, job %s", r.Difference.Record, float64(r.Difference.At)/1e6, r.Difference.Job)
+	}
+	fmt.Fprintf(w, "\tthis build\t%s\n", program)
+	fmt.Fprintf(w, "decisions\t%d\t%d\nother than captured\t%d\t%d\nfirst of them\t%s\t%s\n", ours.Decisions, theirs.Decisions,
+		ours.Differing, theirs.Differing, first(ours), first(&theirs))
+	for _, p := range ours.Products {
+		for _, o := range theirs.Products {
+			if o.Name == p.Name {
+				fmt.Fprintf(w, "%s: dismissed, written off\t%d, %d\t%d, %d\n", p.Name, p.Dismissed, p.WrittenOff, o.Dismissed, o.WrittenOff)
+			}
+		}
+	}
+	return w.Flush()
+}
+
 func explainCommand() *cobra.Command {
 	c := &cobra.Command{Use: "explain FILE --job ID", Short: "Tell what became of one job, step by step", Args: cobra.ExactArgs(1)}
 	job := c.Flags().String("job", "", "the job, as logs and captures name it")
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -60,6 +61,8 @@
 type Options struct {
 	Until decide.Time // stop there, counted from the module's start; 0: at the end
 	Job   string      // keep the story of this job
+	Node  string      // and what passed at this node
+	All   bool        // go on after a difference: the counts then say how far the module parts, not what would have been
 	Keep  int         // records to keep before a difference
 }
 
@@ -77,6 +80,7 @@
 	Span       decide.Time `json:"span_ns"`
 	Products   []*Product  `json:"products"`
 	Difference *Difference `json:"difference,omitempty"`
+	Differing  int64       `json:"differing"` // decisions
 	Story      []string    `json:"story,omitempty"`
 	from       decide.Time
 }
@@ -90,6 +94,8 @@
 	jobs     map[string]*job
 	goals    map[string]decide.Time
 	before   []capture.Record
+	nodes    map[string]string // of executions that are out
+	seen     map[string]*seen  // by address
 }
 
 // job is what the replay knows of a job that is not over.
@@ -104,7 +110,8 @@
 	if opt.Keep == 0 {
 		opt.Keep = 20
 	}
-	return &Replay{opt: opt, products: map[string]*Product{}, jobs: map[string]*job{}, goals: map[string]decide.Time{}}
+	return &Replay{opt: opt, products: map[string]*Product{}, jobs: map[string]*job{}, goals: map[string]decide.Time{},
+		nodes: map[string]string{}, seen: map[string]*seen{}}
 }
 
 // Run replays all records that next brings, until the end, a difference or a gap.
@@ -180,8 +187,11 @@
 	case capture.Take:
 		r.take(rec)
 	case capture.Ended:
-		r.tell(rec.Job, rec.At, "execution %d: %s after %.1f ms (the node held %d jobs, its latency %.1f ms)", rec.Number,
-			outcome(rec.Outcome), float64(rec.Took)/1e6, rec.Inflight, float64(rec.Latency)/1e6)
+		addr, n := r.outcomeAt(rec)
+		r.tell(rec.Job, rec.At, "execution %d at %s: %s after %.1f ms; the node lately: %.1f ms, %.0f%% not served, %d out from here, %d held",
+			rec.Number, addr, outcome(rec.Outcome), float64(rec.Took)/1e6, float64(n.took)/1e6, 100*n.failing, n.out, n.held)
+		r.at(addr, rec.At, "%s, execution %d: %s after %.1f ms; lately %.1f ms, %.0f%% not served, %d out, %d held", rec.Job, rec.Number,
+			outcome(rec.Outcome), float64(rec.Took)/1e6, float64(n.took)/1e6, 100*n.failing, n.out, n.held)
 		if j := r.jobs[rec.Job]; j != nil && rec.Final && rec.Outcome == decide.Served {
 			j.product.Completed++
 			if rec.At <= j.goalBy {
@@ -255,6 +265,49 @@
 	r.module.Take(rec.At, j, rec.Volume, rec.Plan, rec.Product, rec.Hosts, rec.Keyed)
 }
 
+// seen is what the replay has seen of a node.
+type seen struct {
+	out     int
+	took    decide.Time // of the latest executions, averaged
+	failing float64     // share of them that were not served
+	held    int         // by its last load report
+}
+
+func execution(job string, number int) string { return job + " " + strconv.Itoa(number) }
+
+func (r *Replay) node(addr string) *seen {
+	n := r.seen[addr]
+	if n == nil {
+		n = &seen{}
+		r.seen[addr] = n
+	}
+	return n
+}
+
+// outcomeAt notes an outcome at its node, and returns what is seen of the node since.
+func (r *Replay) outcomeAt(rec *capture.Record) (addr string, n *seen) {
+	key := execution(rec.Job, rec.Number)
+	addr = r.nodes[key]
+	delete(r.nodes, key)
+	n = r.node(addr)
+	failed := 1.0
+	if rec.Outcome == decide.Served {
+		failed = 0
+		n.took += (rec.Took - n.took) / 8
+		n.held = rec.Inflight
+	}
+	n.failing += (failed - n.failing) / 8
+	n.out = max(n.out-1, 0)
+	return addr, n
+}
+
+// at adds to a node's story.
+func (r *Replay) at(addr string, at decide.Time, format string, args ...any) {
+	if addr != "" && addr == r.opt.Node {
+		r.report.Story = append(r.report.Story, fmt.Sprintf("%10.3f ms  ", float64(at-r.report.from)/1e6)+fmt.Sprintf(format, args...))
+	}
+}
+
 // tell adds to a job's story.
 func (r *Replay) tell(id string, at decide.Time, format string, args ...any) {
 	line := fmt.Sprintf("%10.3f ms  ", float64(at-r.report.from)/1e6) + fmt.Sprintf(format, args...)
@@ -278,12 +331,21 @@
 				d.Story = j.story
 			}
 		}
-		r.report.Difference = d
-		r.move(Parted, "")
-		return
+		if r.report.Differing++; r.report.Difference == nil {
+			r.report.Difference = d
+		}
+		if !r.opt.All {
+			r.move(Parted, "")
+			return
+		}
 	}
 	for _, e := range now.Sent {
-		r.tell(e.Job, rec.At, "execution %d is sent to %s", e.Number, e.Node)
+		r.nodes[execution(e.Job, e.Number)] = e.Node
+		n := r.node(e.Node)
+		n.out++
+		r.tell(e.Job, rec.At, "execution %d is sent to %s, which now has %d out from here; %d jobs have no answer yet", e.Number, e.Node,
+			n.out, len(r.jobs))
+		r.at(e.Node, rec.At, "%s, execution %d is sent, %d out", e.Job, e.Number, n.out)
 	}
 	for _, e := range now.CallOff {
 		r.tell(e.Job, rec.At, "execution %d is called off", e.Number)
