--- a/cmd/irispost/capture.go
+++ b/cmd/irispost/capture.go
@@ -18,6 +18,7 @@
 	"irispost/internal/adapter"
 	"irispost/internal/admin"
 	"irispost/internal/capture"
+	"irispost/internal/relive"
 	"irispost/internal/replay"
 )
 
@@ -44,8 +45,13 @@
 	node := c.Flags().String("node", "", "tell what passed at this node")
 	all := c.Flags().Bool("all", false, "go on after a difference, and count")
 	against := c.Flags().String("against", "", "another build of this program: tell where the two part on the capture")
+	live := c.Flags().Bool("live", false, "play it through a real gateway against stand-ins on loopback, and compare the shape of the outcome")
+	speed := c.Flags().Float64("speed", 1, "with --live: times the captured pace")
 	keep := c.Flags().Int("before", 20, "records to show before a difference")
 	c.RunE = func(c *cobra.Command, args []string) error {
+		if *live {
+			return relived(c, args[0], *speed, *asJSON)
+		}
 		r, err := replayFile(args[0], replay.Options{Until: int64(*until), Job: *job, Node: *node, Keep: *keep,
 			All: *all || *against != ""})
 		if err != nil {
@@ -74,6 +80,63 @@
 	return c
 }
 
+// relived plays a capture through a real gateway.
+func relived(c *cobra.Command, file string, speed float64, asJSON bool) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r, err := capture.NewReader(f)
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	script, err := relive.Read(r.Next)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	report, err := relive.Play(ctx, script, relive.Options{Speed: speed, Slack: 250 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		b, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), string(b))
+	} else {
+		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+		fmt.Fprintf(w, "product\tjobs\tin goal\tlate\tdismissed\twritten off\tleft\n")
+		for _, name := range slices.Sorted(maps.Keys(report.Was)) {
+			for _, side := range []struct {
+				name  string
+				shape *relive.Shape
+			}{{"captured", report.Was[name]}, {"now", report.Is[name]}} {
+				if s := side.shape; s != nil {
+					n := float64(max(s.Jobs, 1)) / 100
+					fmt.Fprintf(w, "%s %s\t%d\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%.1f%%\n", name, side.name, s.Jobs, float64(s.InGoal)/n,
+						float64(s.Late)/n, float64(s.Dismissed)/n, float64(s.WrittenOff)/n, float64(s.Left)/n)
+				}
+			}
+		}
+		fmt.Fprintf(w, "\nrule\tchecked\tbroken\n")
+		for _, rule := range report.Rules {
+			fmt.Fprintf(w, "%s\t%d\t%d\n", rule.Name, rule.Checked, rule.Broken)
+			for _, first := range rule.First {
+				fmt.Fprintf(w, "    %s\n", first)
+			}
+		}
+		w.Flush()
+	}
+	if !report.Good() {
+		return errors.New("a rule is broken, or nothing was checked")
+	}
+	return nil
+}
+
 // compare sets this build's replay beside another's.
 func compare(c *cobra.Command, ours *replay.Report, program, file string, until time.Duration) error {
 	out, err := exec.Command(program, "replay", "--all", "--json", "--until", until.String(), file).Output()
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -150,20 +150,9 @@
 
 // terms are the figures of the rules, for the check.
 func (t *town) terms() audit.Terms {
-	number := func(name string) float64 {
-		var v float64
-		fmt.Sscan(t.conf.Terms[name], &v)
-		return v
-	}
-	span := func(name string) int64 { return int64(number(name) * 1e6) }
-	terms := audit.Terms{Slack: int64(t.script.Slack), Transit: int64(t.script.Transit), Grace: int64(t.script.Grace), ListDelay: int64(listDelay),
-		KeyRest: span("key.rest"), FurtherFree: number("further.free"), FurtherShare: number("further.share"),
-		FurtherWindow: span("further.window"), ColdFrom: number("cold.from"), ColdTime: span("cold.time"),
-		ColdMultiple: number("cold.multiple"), ColdWindow: span("cold.window"), ColdUnits: number("cold.units"),
-		Limits: map[int64]audit.Limit{}}
-	for _, p := range t.conf.Products {
-		terms.Window = max(terms.Window, int64(p.Window))
-	}
+	terms := audit.TermsOf(t.conf.Terms)
+	terms.Slack, terms.Transit = int64(t.script.Slack), int64(t.script.Transit)
+	terms.Grace, terms.ListDelay = int64(t.script.Grace), int64(listDelay)
 	for id, c := range t.conf.Caps {
 		terms.Limits[id] = audit.Limit(c)
 	}
--- /dev/null
+++ b/internal/relive/relive.go
@@ -0,0 +1,493 @@
+// Package relive plays a capture through a real gateway: the captured arrivals and lists at their times, against stand-in
+// nodes on loopback that behave as the captured nodes did. The rules are checked from the sockets, and the outcome is
+// compared by its shape: no two runs in real time are the same.
+package relive
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"irispost/decide"
+	"irispost/internal/audit"
+	"irispost/internal/capture"
+	"irispost/internal/gateway"
+	"irispost/internal/listing"
+	"irispost/internal/node"
+	"irispost/internal/sftp"
+	"irispost/internal/standin"
+)
+
+// Script is what a capture says happened, as far as it can be played.
+type Script struct {
+	Gateway string
+	Seed    uint64
+	Terms   decide.Terms
+	From    decide.Time // the module's start
+	acts    []act
+	nodes   map[string]*behaviour
+	Was     map[string]*Shape // by product
+}
+
+// Shape is how a product's jobs fared.
+type Shape struct {
+	Jobs, InGoal, Late, Dismissed, WrittenOff, Left int
+}
+
+// act is something from outside that happens at a time after the start.
+type act struct {
+	at   decide.Time
+	take *capture.Record // one of the three
+	left string
+	list *capture.Record
+}
+
+// behaviour is how a node did, by windows of time.
+type behaviour struct {
+	zone    string
+	shard   int
+	born    decide.Time
+	windows map[int64]*window
+}
+
+type window struct {
+	pace           []float64 // nanoseconds a unit, of what was served
+	failed, silent int
+}
+
+const windowSpan = 250 * decide.Millisecond
+
+// Read makes a script of a capture. One that is cut off is played as far as it goes; one with a gap, or that begins with a
+// state, is not: what was before it is not known.
+func Read(next func() (*capture.Record, error)) (*Script, error) {
+	s := &Script{nodes: map[string]*behaviour{}, Was: map[string]*Shape{}}
+	type execution struct {
+		job    string
+		number int
+	}
+	sent, taken, goals := map[execution]string{}, map[string]*capture.Record{}, map[string]decide.Time{}
+	for {
+		r, err := next()
+		if err == io.EOF || errors.Is(err, capture.ErrCut) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		at := r.At - s.From
+		switch r.Kind {
+		case capture.Header:
+			s.Gateway = r.Name
+		case capture.Start:
+			if s.Terms != nil {
+				return s, s.check() // a second life: the first is what is played
+			}
+			s.From, s.Seed, s.Terms = r.At, r.Seed, r.Terms
+			for i := range count(r.Terms, "products.count") {
+				goals[r.Terms[item(i, "name")]] = decide.Time(float(r.Terms, item(i, "goal")) * 1e6)
+			}
+		case capture.State, capture.Gap:
+			return nil, fmt.Errorf("the capture has a %v %.3f s after its start, it cannot be played whole", r.Kind, float64(at)/1e9)
+		case capture.Listed, capture.ListedPart:
+			s.acts = append(s.acts, act{at: at, list: r})
+			for _, n := range r.Nodes {
+				s.nodes[n.Addr] = &behaviour{zone: n.Zone, shard: n.Shard, born: n.Born, windows: map[int64]*window{}}
+			}
+		case capture.Take:
+			s.acts = append(s.acts, act{at: at, take: r})
+			taken[r.Job] = r
+			s.shape(r.Product).Jobs++
+		case capture.Left:
+			s.acts = append(s.acts, act{at: at, left: r.Job})
+			if t := taken[r.Job]; t != nil {
+				s.shape(t.Product).Left++
+				delete(taken, r.Job)
+			}
+		case capture.Ended:
+			s.outcome(r, at, sent[execution{r.Job, r.Number}], taken[r.Job])
+			if t := taken[r.Job]; t != nil && r.Final && r.Outcome == decide.Served {
+				if r.At-t.At <= goals[t.Product] {
+					s.shape(t.Product).InGoal++
+				} else {
+					s.shape(t.Product).Late++
+				}
+			}
+		case capture.Decided:
+			for _, e := range r.Decision.Sent {
+				sent[execution{e.Job, e.Number}] = e.Node
+			}
+			for _, a := range r.Decision.Ended {
+				if t := taken[a.Job]; t != nil && a.State == decide.Dismissed {
+					s.shape(t.Product).Dismissed++
+				} else if t != nil {
+					s.shape(t.Product).WrittenOff++
+				}
+			}
+		}
+	}
+	return s, s.check()
+}
+
+func (s *Script) check() error {
+	if s.Terms == nil || len(s.acts) == 0 {
+		return errors.New("the capture holds no start and no arrivals to play")
+	}
+	return nil
+}
+
+func (s *Script) shape(product string) *Shape {
+	p := s.Was[product]
+	if p == nil {
+		p = &Shape{}
+		s.Was[product] = p
+	}
+	return p
+}
+
+// outcome adds an outcome to its node's behaviour.
+func (s *Script) outcome(r *capture.Record, at decide.Time, addr string, t *capture.Record) {
+	b := s.nodes[addr]
+	if b == nil || t == nil {
+		return
+	}
+	began := (at - r.Took) / windowSpan
+	w := b.windows[began]
+	if w == nil {
+		w = &window{}
+		b.windows[began] = w
+	}
+	switch r.Outcome {
+	case decide.Served:
+		w.pace = append(w.pace, float64(r.Took)/max(t.Units, 0.01))
+	case decide.Erred, decide.Reset, decide.Full:
+		w.failed++
+	case decide.TimedOut, decide.Unconnected:
+		w.silent++
+	}
+}
+
+// commands are what a node's stand-in is told, by window: how long a unit takes against its usual pace, what part fails, and
+// whether it answers at all.
+func (b *behaviour) commands() (usual time.Duration, at map[int64][]string) {
+	var all []float64
+	for _, w := range b.windows {
+		all = append(all, w.pace...)
+	}
+	if len(all) == 0 {
+		all = []float64{float64(time.Millisecond)}
+	}
+	slices.Sort(all)
+	usual, at = time.Duration(all[len(all)/2]), map[int64][]string{}
+	for n, w := range b.windows {
+		served := len(w.pace)
+		commands := []string{"well"}
+		if served == 0 && w.silent > 0 {
+			commands = append(commands, "hang")
+		}
+		if served > 0 {
+			slices.Sort(w.pace)
+			commands = append(commands, fmt.Sprintf("slow %.3f", w.pace[served/2]/float64(usual)))
+		}
+		if w.failed > 0 {
+			commands = append(commands, fmt.Sprintf("fail %.3f", float64(w.failed)/float64(w.failed+served)))
+		}
+		at[n] = commands
+	}
+	return usual, at
+}
+
+// Options are how a script is played.
+type Options struct {
+	Speed float64 // times the captured pace; spans such as goals stay
+	Slack time.Duration
+	Log   *slog.Logger
+}
+
+// Report is what came of it.
+type Report struct {
+	Was   map[string]*Shape `json:"was"`
+	Is    map[string]*Shape `json:"is"`
+	Rules []audit.Rule      `json:"rules"`
+	Lost  int               `json:"lost"`
+	Twice int               `json:"answered_twice"`
+}
+
+// Good tells whether no rule was broken and something was checked.
+func (r *Report) Good() bool {
+	checked := false
+	for _, rule := range r.Rules {
+		if rule.Broken > 0 {
+			return false
+		}
+		checked = checked || rule.Checked > 0
+	}
+	return checked && r.Lost == 0 && r.Twice == 0
+}
+
+// play is a script on its way.
+type play struct {
+	script *Script
+	opt    Options
+	clock  gateway.Clock
+	record *audit.Record
+	loop   *gateway.Loop
+	store  map[int]*standin.Store
+	nodes  map[string]*standin.Node // by captured address
+	lists  map[string]listing.Node  // as told last, by captured address
+	vols   map[int64]*gateway.Volume
+	kinds  map[string]uint8
+	inTurn map[string]bool // products whose keys count
+	goals  map[string]decide.Time
+	lock   sync.Mutex
+	jobs   map[string]*gateway.Session // by captured name
+	over   sync.WaitGroup
+	report *Report
+	began  time.Time
+	count  int
+}
+
+// Play plays a script.
+func Play(ctx context.Context, s *Script, opt Options) (*Report, error) {
+	if opt.Speed <= 0 {
+		opt.Speed = 1
+	}
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	clock := gateway.NewClock()
+	p := &play{script: s, opt: opt, clock: clock, record: &audit.Record{Clock: clock.Now}, store: map[int]*standin.Store{},
+		nodes: map[string]*standin.Node{}, lists: map[string]listing.Node{}, vols: map[int64]*gateway.Volume{}, kinds: map[string]uint8{}, inTurn: map[string]bool{},
+		goals: map[string]decide.Time{}, jobs: map[string]*gateway.Session{}, report: &Report{Was: s.Was, Is: map[string]*Shape{}}}
+	defer p.close()
+	words := map[string]uint8{"referenced": 1, "single-use": 2}
+	for i := range count(s.Terms, "products.count") {
+		name := s.Terms[item(i, "name")]
+		p.kinds[name] = words[s.Terms[item(i, "kind")]]
+		p.inTurn[name] = s.Terms[item(i, "in_turn")] == "true" || s.Terms[item(i, "in_turn")] == "1"
+		p.goals[name] = decide.Time(float(s.Terms, item(i, "goal")) * 1e6)
+	}
+	terms := decide.Terms{}
+	for name, v := range s.Terms {
+		terms[name] = v
+	}
+	terms["discovery"] = "told" // lists come at their captured times, whoever asked for them
+	client := node.NewClient(time.Second, 2, sftp.DefaultBounds, opt.Log)
+	defer client.Close()
+	p.loop = gateway.Start(gateway.Options{Name: s.Gateway, Seed: s.Seed, Terms: terms, Queue: 4096, Clock: clock, Nodes: client, Log: opt.Log})
+	defer p.loop.Stop()
+	if err := p.run(ctx); err != nil {
+		return nil, err
+	}
+	p.over.Wait()
+	p.record.Add(audit.Event{What: audit.Listed, Word: "ready", At: clock.Now() + int64(time.Minute)}) // past all limits
+	rules := audit.TermsOf(s.Terms)
+	rules.Slack, rules.Transit = int64(opt.Slack), int64(opt.Slack)
+	rules.Grace, rules.ListDelay = int64(float(s.Terms, "drain.grace")*1e6), int64(opt.Slack)
+	events := p.record.Events()
+	sum := audit.Summarise(events)
+	p.report.Rules, p.report.Lost, p.report.Twice = audit.Check(events, rules), sum.Lost, sum.Twice
+	return p.report, nil
+}
+
+// run lets what happens happen.
+func (p *play) run(ctx context.Context) error {
+	type step struct {
+		at decide.Time
+		do func() error
+	}
+	var steps []step
+	for _, a := range p.script.acts {
+		steps = append(steps, step{a.at, func() error { return p.act(a) }})
+	}
+	for addr, b := range p.script.nodes {
+		_, at := b.commands()
+		for n, commands := range at {
+			steps = append(steps, step{n * windowSpan, func() error {
+				if stand := p.nodes[addr]; stand != nil {
+					for _, c := range commands {
+						if err := stand.Command(c); err != nil {
+							return err
+						}
+					}
+				}
+				return nil
+			}})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	p.began = time.Now()
+	for _, s := range steps {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(p.began.Add(time.Duration(float64(s.at) / p.opt.Speed)))):
+		}
+		if err := s.do(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *play) act(a act) error {
+	switch {
+	case a.list != nil:
+		return p.list(a.list)
+	case a.take != nil:
+		p.take(a.take)
+	default:
+		p.lock.Lock()
+		s := p.jobs[a.left]
+		delete(p.jobs, a.left)
+		p.lock.Unlock()
+		if s != nil { // else it has its answer here already
+			p.record.Add(audit.Event{What: audit.ClientGo, Session: s.Name, Word: "closed"})
+			p.loop.Left(s)
+		}
+	}
+	return nil
+}
+
+// list starts the nodes that are new and tells the gateway of the list, with the stand-ins' addresses.
+func (p *play) list(r *capture.Record) error {
+	if r.Kind == capture.Listed {
+		for addr, n := range p.lists {
+			n.Standing = listing.Gone
+			p.lists[addr] = n
+		}
+	}
+	for _, n := range r.Nodes {
+		old, known := p.lists[n.Addr]
+		if !known || n.Born > old.Born {
+			if err := p.start(n); err != nil {
+				return err
+			}
+		}
+		p.lists[n.Addr] = n
+	}
+	var l listing.List
+	words := map[listing.Standing]string{listing.Ready: "ready", listing.Draining: "draining", listing.Gone: "gone"}
+	for _, addr := range sorted(p.lists) {
+		n := p.lists[addr]
+		n.Addr = p.nodes[addr].Addr()
+		if n.Born > p.script.From { // on this run's clock
+			n.Born = p.nodes[addr].Born().UnixNano()
+		} else {
+			n.Born = 0
+		}
+		l.Nodes = append(l.Nodes, n)
+		p.record.Add(audit.Event{What: audit.Listed, Node: n.Addr, Word: words[n.Standing]})
+	}
+	p.loop.List(l)
+	return nil
+}
+
+func sorted(m map[string]listing.Node) (names []string) {
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// start starts the stand-in of a node. Its pace is the captured one as it was, waits and all, so it has cores enough.
+func (p *play) start(n listing.Node) error {
+	b := p.script.nodes[n.Addr]
+	usual, _ := b.commands()
+	if p.store[n.Shard] == nil {
+		store, err := standin.NewStore("")
+		if err != nil {
+			return err
+		}
+		p.store[n.Shard] = store
+	}
+	if old := p.nodes[n.Addr]; old != nil {
+		old.Close()
+	}
+	stand, err := standin.Start(standin.Options{Addr: "127.0.0.1:0", Zone: n.Zone, Shard: n.Shard, Store: p.store[n.Shard], Cores: 64,
+		Unit: usual, Queue: 4096, Marks: time.Minute, Seed: p.script.Seed, Record: p.record})
+	if err == nil {
+		p.nodes[n.Addr] = stand
+	}
+	return err
+}
+
+// take hands in a job as it was, but for its bytes.
+func (p *play) take(r *capture.Record) {
+	v := p.vols[r.Volume]
+	if v == nil {
+		v = &gateway.Volume{ID: r.Volume, Plan: r.Plan, Hosts: r.Hosts}
+		p.vols[r.Volume] = v
+	}
+	p.count++
+	s := gateway.NewSession(p.script.Gateway + "/relive/" + strconv.Itoa(p.count))
+	p.lock.Lock()
+	p.jobs[r.Job] = s
+	p.lock.Unlock()
+	now := p.loop.Now()
+	goal, stop := now+p.goals[r.Product], now+r.StopBy-r.At
+	p.record.Add(audit.Event{At: now, What: audit.Asked, Session: s.Name, ID: 1, Product: r.Product, Goal: goal, Limit: stop})
+	call := node.Call{Op: node.Get, Name: "none", Shard: r.Shard}
+	if r.Write {
+		call = node.Call{Op: node.Put, Name: r.Job, Shard: r.Shard, Data: []byte("x")}
+	}
+	wait := p.loop.Do(s, &gateway.Work{Volume: v, Product: r.Product, Units: r.Units, Key: r.Key, Keyed: r.Keyed && p.inTurn[r.Product], StopBy: stop,
+		Request: 1, Kind: p.kinds[r.Product], Call: call})
+	p.over.Add(1)
+	go func() {
+		defer p.over.Done()
+		result := <-wait
+		at := p.loop.Now()
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		delete(p.jobs, r.Job)
+		shape := p.report.Is[r.Product]
+		if shape == nil {
+			shape = &Shape{}
+			p.report.Is[r.Product] = shape
+		}
+		shape.Jobs++
+		told := audit.Event{At: at, What: audit.Told, Session: s.Name, ID: 1}
+		switch result.State {
+		case decide.Completed:
+			if at <= goal {
+				shape.InGoal++
+			} else {
+				shape.Late++
+			}
+		case decide.Dismissed:
+			told.Answer = audit.Dismissed
+			shape.Dismissed++
+		case decide.Withdrawn:
+			shape.Left++
+			return
+		default:
+			told.Answer = audit.WrittenOff
+			shape.WrittenOff++
+		}
+		p.record.Add(told)
+	}()
+}
+
+func (p *play) close() {
+	for _, n := range p.nodes {
+		n.Close()
+	}
+}
+
+func item(n int, name string) string { return "products." + strconv.Itoa(n) + "." + name }
+
+func float(t decide.Terms, name string) float64 {
+	v, _ := strconv.ParseFloat(strings.TrimSpace(t[name]), 64)
+	return v
+}
+
+func count(t decide.Terms, name string) int { return int(float(t, name)) }
