Let a capture go on in further files, each with the module's state

A capture ended at its size. It now goes on in the next file by size or age, so many are kept, and each begins with the module's full state and replays by itself.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,6 +72,8 @@
 		Folder hcl.Expression `hcl:"folder"`
 		First  *bool          `hcl:"at_start,optional"`
 		Most   hcl.Expression `hcl:"most,optional"`
+		Age    hcl.Expression `hcl:"age,optional"`
+		Keep   hcl.Expression `hcl:"keep,optional"`
 		Flush  hcl.Expression `hcl:"flush,optional"`
 		Behind hcl.Expression `hcl:"behind,optional"`
 	}
@@ -359,6 +361,8 @@
 			r.refuse(c.Folder.Range(), "No folder", "A capture needs a folder to lie in.")
 		}
 		l.Most = r.size(c.Most, 1<<20, 1<<40, l.Most)
+		l.Age = r.span(c.Age, time.Second, 30*24*time.Hour, l.Age)
+		l.Keep = r.count(c.Keep, 1, 1<<20, l.Keep)
 		l.Flush = r.span(c.Flush, 10*time.Millisecond, time.Minute, l.Flush)
 		l.Behind = r.count(c.Behind, 1, 4096, l.Behind)
 	}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -339,6 +339,39 @@
 	}
 }
 
+// A capture goes on in the next file when one is full; each file replays by itself, and so many are kept.
+func TestFilesThatFollow(t *testing.T) {
+	dir := t.TempDir()
+	l := limits()
+	l.Most, l.Keep = 20_000, 3
+	rec, first, err := capture.InFolder(dir, "g", "b", l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := rec.Close(drive(9, 6000, rec)); err != nil || rec.Status().Dropped > 0 {
+		t.Fatal(err, rec.Status())
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "*.iriscap"))
+	if _, err := os.Stat(first); len(files) != 3 || !os.IsNotExist(err) {
+		t.Fatalf("%v are kept, the first: %v", files, err)
+	}
+	decisions := int64(0)
+	for _, file := range files {
+		b, err := os.ReadFile(file)
+		if err != nil || len(b) > 25_000 {
+			t.Fatal(len(b), err)
+		}
+		r, err := Run(open(t, b), Options{})
+		if err != nil || r.Difference != nil || r.State != Ended && r.State != Waiting {
+			t.Errorf("%s: %v, %v %s", file, r.State, err, place(r))
+		}
+		decisions += r.Decisions
+	}
+	if decisions < 100 {
+		t.Errorf("%d decisions in the files that are kept", decisions)
+	}
+}
+
 // Records that are missing are passed over, and the replay goes on at the next state.
 func TestOverAGap(t *testing.T) {
 	var m memory
--- a/internal/serve/admin.go
+++ b/internal/serve/admin.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"path/filepath"
 	"sync"
-	"time"
 
 	"irispost/internal/admin"
 	"irispost/internal/capture"
@@ -29,8 +27,7 @@
 	if folder == "" {
 		return errors.New("no folder for captures is configured, name one")
 	}
-	file := filepath.Join(folder, fmt.Sprintf("%s-%s.iriscap", g.Config.Name, time.Now().UTC().Format("20060102T150405.000000")))
-	record, err := capture.Create(file, g.Config.Name, build(), g.Config.Capture)
+	record, file, err := capture.InFolder(folder, g.Config.Name, build(), g.Config.Capture)
 	if err != nil {
 		return err
 	}
