--- a/internal/capture/format.go
+++ b/internal/capture/format.go
@@ -140,7 +140,7 @@
 // ErrDamaged tells that bytes are not as they were written.
 var ErrDamaged = errors.New("the capture is damaged")
 
-// enc and dec walk over a record's fields in one order, so that what is written and what is read cannot part.
+// coder writes or reads: it walks over a record's fields in one order, so that what is written and what is read cannot part.
 type coder struct {
 	out     []byte
 	in      []byte
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -197,6 +197,10 @@
 		return nil
 	default:
 	}
+	if p == nil { // at the root of all volumes, where no request has jobs to wait for
+		<-step
+		return nil
+	}
 	timer := time.NewTimer(time.Duration(t.arrived + int64(p.Patience) - t.front.opt.Loop.Now()))
 	defer timer.Stop()
 	select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -86,6 +86,9 @@
 	if a := run(c, n.Addr(), node.Call{Op: node.Get, Shard: 5}); a.Outcome != node.Moot {
 		t.Errorf("another shard's: %+v", a)
 	}
+	if a := run(c, n.Addr(), node.Call{Op: node.Put, Name: "far", Shard: 0, Offset: 1 << 63}); a.Outcome != node.Erred {
+		t.Errorf("bytes too far out: %+v", a)
+	}
 	n.Command("fail 1")
 	if a := run(c, n.Addr(), node.Call{Op: node.Get, Name: "none", Shard: 0}); a.Outcome != node.Erred {
 		t.Errorf("failed: %+v", a)
--- a/internal/serve/faults_test.go
+++ b/internal/serve/faults_test.go
@@ -504,6 +504,31 @@
 	testkit.Again(t, "another's", func() error { _, err := w.Client(0).Stat("/meals/f"); return err })
 }
 
+// Requests for the root of all volumes, which has no product, wait for each other as any others do.
+func TestManyOutstandingAtTheRoot(t *testing.T) {
+	w := testkit.Start(t, testkit.Conf, 1, 1, nil)
+	for range 20 {
+		conn := dialRaw(t, w, 0)
+		conn.hello()
+		conn.send(sftp.Opendir, func(p *sftp.Packet) { p.Text("/") })
+		_, r := conn.next().ID()
+		handle := r.Text()
+		for range 50 {
+			conn.send(sftp.Readdir, func(p *sftp.Packet) { p.Text(handle) })
+			conn.send(sftp.Stat, func(p *sftp.Packet) { p.Text("/") })
+		}
+		names := 0
+		for range 100 {
+			if conn.next().Type == sftp.Name {
+				names++
+			}
+		}
+		if names != 1 {
+			t.Errorf("the root's names are given %d times", names)
+		}
+	}
+}
+
 // raw is a connection that sends what a test says.
 type raw struct {
 	t   *testing.T
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -164,6 +165,9 @@
 			done.Data = slices.Clone(o.data[from:min(from+uint64(c.Length), uint64(len(o.data)))])
 		}
 	case node.Put:
+		if c.Offset > 1<<30 {
+			return fail(errors.New("an object ends at 2^30 bytes at most"))
+		}
 		o := s.objects[c.Name]
 		if o == nil {
 			if c.Version > 0 { // it has to be there
