Serve the platform's HTTP: front, node client, discovery and start in one program

New packages: http1 (messages with bounds), web (front), webnode (node client), discovery (the list), platform (environment and config.json); the loop takes either node client, lists in part and failed calls. net and not netpoll beneath, since netpoll reads on into memory while nobody takes what it read.

--- /dev/null
+++ b/cmd/irispost/web.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"irispost/internal/platform"
+	"irispost/internal/serve"
+)
+
+func webCommand() *cobra.Command {
+	c := &cobra.Command{Use: "web", Short: "Run a gateway behind HTTP, as the platform's environment tells", Args: cobra.NoArgs}
+	log := logs(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		signals := make(chan os.Signal, 8)
+		signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+		conf, err := platform.Load(os.Getenv)
+		if err != nil {
+			return err
+		}
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(conf.Cores))))
+		debug.SetMemoryLimit(conf.Memory / 2) // of the heap and the runtime; the program's text counts as well
+		log := log()
+		g, err := serve.StartWeb(conf, log)
+		if err != nil {
+			return err
+		}
+		log.Info("the gateway serves", "gateway", conf.Name, "address", g.Front.Addr(), "cores", conf.Cores, "mb", conf.Memory>>20, "sockets", conf.Sockets)
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				break
+			}
+			if again, err := platform.Load(os.Getenv); err != nil {
+				log.Error("the new configuration is not taken, the old one stays", "gateway", conf.Name, "why", err)
+			} else {
+				g.Reload(again)
+			}
+		}
+		log.Info("the gateway ends", "gateway", conf.Name)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		g.Stop(ctx)
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,254 @@
+// Package discovery brings the list of storage nodes from a service that answers when it is asked, over HTTP/1.1: the whole list,
+// or a watch on its changes. It asks when the module wants the list watched; when to ask again after a failure is the module's.
+// What it is told goes on at once.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"irispost/internal/http1"
+	"irispost/internal/listing"
+)
+
+// Form is a list as the service writes it.
+type Form struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one entry.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Group    int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+// Table holds what was told last, by the service's ids, and turns what it says into lists by address. It is pure.
+type Table struct {
+	rev  int64
+	last map[string]listing.Node
+}
+
+var standings = map[string]listing.Standing{"ready": listing.Ready, "draining": listing.Draining, "gone": listing.Gone}
+
+// Take takes in what the service says. A node whose address is another's now, or that has another address, leaves none behind.
+func (t *Table) Take(f *Form, stale bool) (listing.List, error) {
+	l := listing.List{Version: strconv.FormatInt(f.Rev, 10), Stale: stale, Part: !f.All}
+	said := make([]listing.Node, 0, len(f.Targets))
+	for _, e := range f.Targets {
+		s, ok := standings[e.State]
+		if !ok || e.UID == "" || s != listing.Gone && e.Endpoint == "" {
+			return l, fmt.Errorf("an entry that can't be read: uid %q, endpoint %q, state %q", e.UID, e.Endpoint, e.State)
+		}
+		said = append(said, listing.Node{Addr: e.Endpoint, Name: e.UID, Zone: e.Zone, Shard: e.Group, Weight: e.Weight,
+			Born: e.Boot * int64(time.Millisecond), Standing: s})
+	}
+	before := t.last
+	if f.All || before == nil {
+		t.last = map[string]listing.Node{}
+	}
+	t.rev = f.Rev
+	gone := []listing.Node{}
+	for _, n := range said {
+		if old, ok := before[n.Name]; ok && old.Addr != n.Addr {
+			old.Standing = listing.Gone
+			gone = append(gone, old)
+		}
+		if n.Standing == listing.Gone {
+			delete(t.last, n.Name)
+		} else {
+			t.last[n.Name] = n
+		}
+	}
+	held := map[string]listing.Node{} // by address, the one that started last counts
+	for _, n := range t.last {
+		if o, ok := held[n.Addr]; !ok || n.Born > o.Born || n.Born == o.Born && n.Name > o.Name {
+			held[n.Addr] = n
+		}
+	}
+	for _, n := range append(gone, said...) {
+		if o, ok := held[n.Addr]; n.Addr != "" && (!ok || o.Name == n.Name) {
+			l.Nodes = append(l.Nodes, n)
+		}
+	}
+	return l, nil
+}
+
+// Options are what a client is started with.
+type Options struct {
+	Gateway string
+	Address string
+	Known   *Form         // the list as this gateway last held it; nil: none
+	Hold    time.Duration // how long the service may hold a watch open
+	Slack   time.Duration // how much longer an answer may take
+	Log     *slog.Logger
+}
+
+// Client watches one service.
+type Client struct {
+	opt   Options
+	table Table
+	tell  func(listing.List)
+	wake  chan struct{}
+	lock  sync.Mutex
+	addr  string
+	moved bool // the address has changed since the last call began
+	conn  net.Conn
+	in    *bufio.Reader
+}
+
+// New makes a client, and returns the list as it was last held; nil: there is none.
+func New(opt Options) (*Client, *listing.List, error) {
+	c := &Client{opt: opt, addr: opt.Address, wake: make(chan struct{}, 1)}
+	if opt.Known == nil {
+		return c, nil, nil
+	}
+	known := *opt.Known
+	known.All = true
+	l, err := c.table.Take(&known, true)
+	return c, &l, err
+}
+
+// Watch has the list watched from now on. It does not wait.
+func (c *Client) Watch() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Move changes the service's address. What is under way at the old one is let go and asked anew at once: a failure there
+// says nothing of the new one.
+func (c *Client) Move(addr string) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if addr == c.addr {
+		return
+	}
+	c.addr, c.moved = addr, true
+	if c.conn != nil {
+		c.conn.Close()
+	}
+	c.Watch()
+}
+
+// Run watches until the context ends. It tells of lists, and of calls that failed.
+func (c *Client) Run(ctx context.Context, tell func(listing.List), failed func()) {
+	c.tell = tell
+	stop := context.AfterFunc(ctx, func() {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		if c.conn != nil {
+			c.conn.Close()
+		}
+	})
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for ctx.Err() == nil {
+			err := c.ask(ctx)
+			if err == nil {
+				continue
+			}
+			c.lock.Lock()
+			c.drop()
+			moved := c.moved
+			c.lock.Unlock()
+			if moved {
+				continue
+			}
+			if ctx.Err() == nil {
+				c.opt.Log.Info("the watch on the list ended", "gateway", c.opt.Gateway, "rev", c.table.rev, "why", err)
+				failed()
+			}
+			break
+		}
+	}
+}
+
+// drop closes the connection; the lock is held.
+func (c *Client) drop() {
+	if c.conn != nil {
+		c.conn.Close()
+	}
+	c.conn, c.in = nil, nil
+}
+
+// bounds of an answer: lists of many thousands of nodes.
+var bounds = http1.Bounds{Head: 8 << 10, Fields: 64, Body: 4 << 20, Extra: 8}
+
+// ask makes one call.
+func (c *Client) ask(ctx context.Context) error {
+	c.lock.Lock()
+	addr := c.addr
+	if c.moved {
+		c.moved = false
+		c.drop()
+	}
+	conn, in := c.conn, c.in
+	c.lock.Unlock()
+	end := time.Now().Add(c.opt.Slack)
+	if conn == nil {
+		d := net.Dialer{Deadline: end}
+		var err error
+		if conn, err = d.DialContext(ctx, "tcp", addr); err != nil {
+			return err
+		}
+		in = bufio.NewReaderSize(conn, http1.LineBytes)
+		c.lock.Lock()
+		c.conn, c.in = conn, in
+		moved := c.moved
+		c.lock.Unlock()
+		if moved {
+			return net.ErrClosed
+		}
+	}
+	target := "/v1/servers"
+	if c.table.last != nil {
+		target += "?from=" + strconv.FormatInt(c.table.rev, 10) + "&hold_ms=" + strconv.FormatInt(c.opt.Hold.Milliseconds(), 10)
+	}
+	conn.SetDeadline(time.Now().Add(c.opt.Hold + c.opt.Slack))
+	if _, err := conn.Write(http1.NewRequest("GET", target).Field("Host", addr).Body(nil, false)); err != nil {
+		return err
+	}
+	a, err := http1.ReadAnswer(in, bounds)
+	if err != nil {
+		return err
+	}
+	if a.Status != 200 {
+		return fmt.Errorf("status %d", a.Status)
+	}
+	var f Form
+	if err := json.Unmarshal(a.Body, &f); err != nil {
+		return err
+	}
+	l, err := c.table.Take(&f, false)
+	if err != nil {
+		return err
+	}
+	c.tell(l)
+	if a.Close {
+		c.lock.Lock()
+		c.drop()
+		c.lock.Unlock()
+	}
+	return nil
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -32,6 +32,7 @@
 	Key     int64
 	Keyed   bool
 	StopBy  decide.Time // the client waits until then
+	Told    func()      // called on the loop once the result is there; it must not wait. nil: nobody
 	Request uint32      // the client's request that it belongs to
 	Kind    uint8       // as in node.Call
 	Call    node.Call   // what to do at the node; the loop fills in whose it is and the time left
@@ -56,6 +57,14 @@
 // NewSession names a session. The name has to be unique in the installation.
 func NewSession(name string) *Session { return &Session{Name: name, jobs: map[*job]bool{}} }
 
+// Nodes are the connections to the storage nodes, in whatever protocol those speak.
+type Nodes interface {
+	// Start sends an execution. done is called at most once, from elsewhere, and not after CallOff.
+	Start(addr string, c *node.Call, done func(node.Answer)) node.Sending
+	Keep(addrs map[string]bool) // connections to others may go
+	Late() int64                // answers that came after their execution was given up
+}
+
 // Options are what a loop is started with.
 type Options struct {
 	Name  string
@@ -63,7 +72,9 @@
 	Terms decide.Terms
 	Queue int // events that may wait
 	Clock Clock
-	Nodes *node.Client
+	Nodes Nodes
+	Known *listing.List // the list as it was last held, told before anything else; nil: none
+	Watch func()        // the module wants the list watched; it must not wait. nil: lists come unasked
 	Log   *slog.Logger
 	Tap   Tap // nil: nobody listens
 }
@@ -83,7 +94,7 @@
 type exec struct {
 	job     *job
 	decided *decide.Execution
-	sent    *node.Sent
+	sent    node.Sending
 	due     decide.Time // it has timed out then
 	never   bool        // it is proven that it never ran
 	place   int         // in the heap of due times, counted from 1; 0: over
@@ -118,7 +129,11 @@
 	l := &Loop{opt: opt, events: make(chan event, max(opt.Queue, 1)), jobs: map[*decide.Job]*job{},
 		quit: make(chan struct{}), ended: make(chan struct{}), figures: Figures{Products: map[string]*Counts{}}}
 	l.module.tap = opt.Tap
-	l.module.start(opt.Clock.Now(), opt.Seed, opt.Terms)
+	now := opt.Clock.Now()
+	l.module.start(now, opt.Seed, opt.Terms)
+	if opt.Known != nil {
+		l.module.listed(now, *opt.Known)
+	}
 	go l.run()
 	return l
 }
@@ -149,6 +164,9 @@
 	j := &job{work: w, session: s, done: make(chan Result, 1)}
 	if !l.post(func(now decide.Time) { l.take(now, j) }) {
 		j.done <- Result{State: decide.WrittenOff, Why: "the gateway has ended"}
+		if w.Told != nil {
+			w.Told()
+		}
 	}
 	return j.done
 }
@@ -184,10 +202,13 @@
 	}
 }
 
-// List tells of a list of nodes.
+// List tells of a list of nodes, or of what has changed in it.
 func (l *Loop) List(list listing.List) {
 	l.post(func(now decide.Time) {
 		l.module.listed(now, list)
+		if list.Part {
+			return
+		}
 		keep := map[string]bool{}
 		for _, n := range list.Nodes {
 			if n.Standing != listing.Gone {
@@ -198,6 +219,11 @@
 	})
 }
 
+// ListFailed tells that the list could not be had.
+func (l *Loop) ListFailed() {
+	l.post(func(now decide.Time) { l.module.listFailed(now) })
+}
+
 // Stop ends the loop. What it still holds is written off.
 func (l *Loop) Stop() {
 	l.once.Do(func() { close(l.quit) })
@@ -273,6 +299,9 @@
 		if j.session.gone {
 			l.figures.of(w.Product).count(decide.Withdrawn)
 			j.done <- Result{State: decide.Withdrawn}
+			if w.Told != nil {
+				w.Told()
+			}
 			return
 		}
 		j.session.jobs[j] = true
@@ -307,6 +336,9 @@
 	for _, de := range d.Start {
 		l.start(now, de)
 	}
+	if d.Watch && l.opt.Watch != nil {
+		l.opt.Watch()
+	}
 }
 
 func (l *Loop) execOf(de *decide.Execution) *exec {
@@ -369,6 +401,9 @@
 		delete(j.session.jobs, j)
 	}
 	j.done <- r
+	if j.work.Told != nil {
+		j.work.Told()
+	}
 	l.forget(j)
 }
 
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -10,6 +10,8 @@
 type Tap interface {
 	Start(now decide.Time, seed uint64, terms decide.Terms)
 	Listed(now decide.Time, l listing.List)
+	ListedPart(now decide.Time, l listing.List, whole bool)
+	ListFailed(now decide.Time)
 	Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool)
 	Ended(now decide.Time, job string, number int, o decide.Outcome, took decide.Time, final bool, others float64, inflight int,
 		latency decide.Time)
@@ -41,10 +43,21 @@
 }
 
 func (m *module) listed(now decide.Time, l listing.List) {
-	if m.tap != nil {
+	switch {
+	case m.tap == nil:
+	case l.Part:
+		m.tap.ListedPart(now, l, false)
+	default:
 		m.tap.Listed(now, l)
 	}
-	Tell(m.gateway, now, l, true)
+	Tell(m.gateway, now, l, !l.Part)
+}
+
+func (m *module) listFailed(now decide.Time) {
+	if m.tap != nil {
+		m.tap.ListFailed(now)
+	}
+	m.gateway.ListFailed(now)
 }
 
 // Tell tells a module of a list. One that is not whole leaves out what has not changed.
--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -25,10 +25,11 @@
 	Priority int // among nodes of one shard: 0 before 1
 }
 
-// List is a whole list. A node that it leaves out is gone.
+// List is a whole list, in which a node that it leaves out is gone, or a part.
 type List struct {
 	Version string
 	Stale   bool // it may be old
+	Part    bool // only what has changed; a node that it leaves out is as it was
 	Nodes   []Node
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -55,6 +55,11 @@
 	wait   []*Sent // until the link is open
 }
 
+// Sending is an execution on its way, to whoever started it.
+type Sending interface {
+	CallOff() // ends the wait, and lets the node know where the protocol can tell it
+}
+
 // Sent is an execution that is out.
 type Sent struct {
 	link *link
@@ -65,7 +70,7 @@
 }
 
 // Start sends an execution. done is called once, from elsewhere, unless Forget or CallOff comes first.
-func (c *Client) Start(addr string, call *Call, done func(Answer)) *Sent {
+func (c *Client) Start(addr string, call *Call, done func(Answer)) Sending {
 	s := &Sent{call: call, done: done}
 	c.lock.Lock()
 	list := c.links[addr]
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -110,7 +110,7 @@
 	}
 	n.Command("hang")
 	sent = c.Start(n.Addr(), first, func(a node.Answer) { held <- a })
-	sent.Forget()
+	sent.(*node.Sent).Forget()
 	settle()
 	n.Command("well")
 	for c.Late() == 0 {
--- /dev/null
+++ b/internal/serve/web.go
@@ -0,0 +1,75 @@
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"irispost/internal/discovery"
+	"irispost/internal/gateway"
+	"irispost/internal/http1"
+	"irispost/internal/platform"
+	"irispost/internal/web"
+	"irispost/internal/webnode"
+)
+
+// Web is a running gateway behind HTTP.
+type Web struct {
+	Config *platform.Config
+	Loop   *gateway.Loop
+	Front  *web.Front
+	Nodes  *webnode.Client
+	list   *discovery.Client
+	cancel context.CancelFunc
+	log    *slog.Logger
+}
+
+// Shares of the platform's limits. Clients hold at most a third of the sockets for their requests; others hold more.
+const (
+	frontSockets = 0.45
+	nodeSockets  = 0.45 // the rest is for the listener, the list, the runtime and what is just closing
+	bodyMemory   = 1.0 / 8
+)
+
+// StartWeb starts a gateway as the platform tells.
+func StartWeb(c *platform.Config, log *slog.Logger) (*Web, error) {
+	g := &Web{Config: c, log: log}
+	g.Nodes = webnode.NewClient(webnode.Options{Host: "origin.svc", Connect: c.Connect, Idle: c.Idle * 4 / 5,
+		Most: int(nodeSockets * float64(c.Sockets)), Bounds: http1.DefaultBounds, Log: log})
+	list, known, err := discovery.New(discovery.Options{Gateway: c.Name, Address: c.Discovery, Known: c.Known, Hold: c.Hold(),
+		Slack: time.Second, Log: log})
+	if err != nil {
+		g.Nodes.Close()
+		return nil, err
+	}
+	g.list = list
+	g.Loop = gateway.Start(gateway.Options{Name: c.Name, Seed: c.Seed, Terms: c.Terms, Queue: 1024, Clock: gateway.NewClock(),
+		Nodes: g.Nodes, Known: known, Watch: list.Watch, Log: log})
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	go list.Run(ctx, g.Loop.List, g.Loop.ListFailed)
+	g.Front, err = web.Start(c.Listen, web.Options{Name: c.Name, Loop: g.Loop, Terms: c.Terms, Log: log, Limits: web.Limits{
+		Connections: int(frontSockets * float64(c.Sockets)), Bodies: int64(bodyMemory * float64(c.Memory)),
+		First: 2500 * time.Millisecond, Request: 2500 * time.Millisecond, Idle: 10 * time.Second, Spare: 2 * time.Second,
+		Write: 5 * time.Second, Message: http1.DefaultBounds}})
+	if err != nil {
+		g.cancel()
+		g.Loop.Stop()
+		return nil, err
+	}
+	return g, nil
+}
+
+// Reload takes over what can change while a gateway runs: where the list is asked.
+func (g *Web) Reload(c *platform.Config) {
+	g.log.Info("the configuration is read anew", "gateway", g.Config.Name, "discovery", c.Discovery)
+	g.list.Move(c.Discovery)
+}
+
+// Stop ends the gateway: connections are taken for a moment still, and what was taken has its answer, until the context ends.
+func (g *Web) Stop(ctx context.Context) {
+	g.Front.Stop(ctx, 500*time.Millisecond)
+	g.cancel()
+	g.Loop.Stop()
+	g.Nodes.Close()
+}
--- /dev/null
+++ b/internal/web/front.go
@@ -0,0 +1,392 @@
+// Package web is the front that takes HTTP/1.1: requests of clients become jobs of the gateway, and a job's result becomes the
+// one answer. What a job deserves is the module's; this package bounds what a client can make the gateway hold.
+//
+// It is built on net and not on netpoll, which reads on into memory while its handler waits: 60 MB sent behind a request that
+// waits would be held whole. With net the bytes stay in the socket until they are wanted.
+package web
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"irispost/decide"
+	"irispost/internal/gateway"
+	"irispost/internal/http1"
+)
+
+// Limits bound what clients can make the gateway hold.
+type Limits struct {
+	Connections int
+	Bodies      int64         // bytes of all bodies held
+	First       time.Duration // from connecting to the end of the first request
+	Request     time.Duration // from a later request's first byte to its last
+	Idle        time.Duration // between requests
+	Spare       time.Duration // where connections run short, one idle for longer goes
+	Write       time.Duration // an answer that is not taken by then ends the connection
+	Message     http1.Bounds
+}
+
+// Options are what a front is started with.
+type Options struct {
+	Name   string
+	Loop   *gateway.Loop
+	Terms  decide.Terms
+	Limits Limits
+	Log    *slog.Logger
+}
+
+// Front is a running front.
+type Front struct {
+	opt      Options
+	known    known
+	listener net.Listener
+	lock     sync.Mutex
+	conns    map[*conn]bool
+	open     map[string]bool // ids of requests without an answer
+	bodies   int64
+	count    int64
+	stopping bool
+	closed   bool
+	none     chan struct{} // closed when the front is closed and no connection is left
+}
+
+// connState is where a client's connection stands. Only conn.move changes it.
+type connState uint8
+
+const (
+	fresh   connState = iota // has not asked anything yet
+	idle                     // between requests
+	reading                  // a request is coming in
+	waiting                  // its job is with the gateway
+	writing                  // the answer goes out
+	ended
+)
+
+// conn is a client's connection. The front's lock guards state and since.
+type conn struct {
+	front   *Front
+	raw     net.Conn
+	in      *bufio.Reader
+	session *gateway.Session
+	state   connState
+	since   time.Time // it has been in this state
+	until   time.Time // the first request has to be there, while fresh
+}
+
+// Start listens at an address.
+func Start(addr string, opt Options) (*Front, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	f := &Front{opt: opt, known: knownBy(opt.Terms), listener: l, conns: map[*conn]bool{}, open: map[string]bool{},
+		none: make(chan struct{})}
+	go f.accept()
+	return f, nil
+}
+
+// Addr is the address that clients connect to.
+func (f *Front) Addr() string { return f.listener.Addr().String() }
+
+func (f *Front) accept() {
+	for {
+		raw, err := f.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors: those that are open have to end first
+			f.opt.Log.Warn("no connection could be taken", "gateway", f.opt.Name, "why", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if c := f.admit(raw); c != nil {
+			go c.serve()
+			continue
+		}
+		raw.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
+		raw.Write(http1.NewAnswer(503).Field("Connection", "close").Body([]byte("too many connections\n"), true))
+		raw.Close()
+	}
+}
+
+// admit takes a connection in, if there is room or one that can go; else nil.
+func (f *Front) admit(raw net.Conn) *conn {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	now := time.Now()
+	if len(f.conns) >= f.opt.Limits.Connections && !f.spare(now) || f.closed {
+		return nil
+	}
+	f.count++
+	c := &conn{front: f, raw: raw, in: bufio.NewReaderSize(raw, http1.LineBytes), since: now,
+		session: gateway.NewSession(f.opt.Name + "/" + strconv.FormatInt(f.count, 10)), until: now.Add(f.opt.Limits.First)}
+	f.conns[c] = true
+	return c
+}
+
+// spare ends the connection that can go best: one that has not said anything, else one that has been idle for long.
+func (f *Front) spare(now time.Time) bool {
+	var best *conn
+	for c := range f.conns {
+		if c.state != fresh && (c.state != idle || now.Sub(c.since) < f.opt.Limits.Spare) {
+			continue
+		}
+		if best == nil || c.state < best.state || c.state == best.state && c.since.Before(best.since) {
+			best = c
+		}
+	}
+	if best != nil {
+		best.move(ended)
+	}
+	return best != nil
+}
+
+// move is the one place where a connection changes state; the lock is held. false tells that it has ended.
+func (c *conn) move(to connState) bool {
+	if c.state == ended {
+		return false
+	}
+	c.state, c.since = to, time.Now()
+	if to == ended {
+		c.raw.Close()
+		delete(c.front.conns, c)
+		if c.front.closed && len(c.front.conns) == 0 {
+			close(c.front.none)
+		}
+	}
+	return true
+}
+
+func (c *conn) to(s connState) bool {
+	c.front.lock.Lock()
+	defer c.front.lock.Unlock()
+	return c.move(s)
+}
+
+// serve takes one request after the other.
+func (c *conn) serve() {
+	defer c.to(ended)
+	c.raw.SetReadDeadline(c.until)
+	for {
+		if _, err := c.in.Peek(1); err != nil { // fresh: until is set below for the first
+			return
+		}
+		if !c.to(reading) {
+			return
+		}
+		again, err := c.request()
+		if err != nil || !again {
+			c.refuse(err)
+			return
+		}
+		if !c.to(idle) {
+			return
+		}
+		c.raw.SetReadDeadline(time.Now().Add(c.front.opt.Limits.Idle))
+	}
+}
+
+// refuse tells a client what is wrong with its request, and lets what it still sends go by for a moment, since a close on
+// unread bytes would take the answer with it.
+func (c *conn) refuse(err error) {
+	var wrong *http1.Error
+	if !errors.As(err, &wrong) {
+		return
+	}
+	if c.write(http1.NewAnswer(wrong.Status).Field("Connection", "close").Body([]byte(wrong.Why+"\n"), true)) != nil {
+		return
+	}
+	if t, ok := c.raw.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.raw.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	io.CopyN(io.Discard, c.in, 4*c.front.opt.Limits.Message.Body)
+}
+
+func (c *conn) write(b []byte) error {
+	c.raw.SetWriteDeadline(time.Now().Add(c.front.opt.Limits.Write))
+	_, err := c.raw.Write(b)
+	return err
+}
+
+// request takes one request and answers it; false tells that the connection ends with it.
+func (c *conn) request() (again bool, err error) {
+	f := c.front
+	limit := time.Now().Add(f.opt.Limits.Request)
+	if !c.until.IsZero() {
+		limit, c.until = c.until, time.Time{}
+	}
+	c.raw.SetReadDeadline(limit)
+	q, err := http1.ReadRequest(c.in, f.opt.Limits.Message)
+	if err != nil {
+		return false, late(err)
+	}
+	if q.Target == "/healthz" {
+		return c.health(q)
+	}
+	w, err := f.known.work(q)
+	if err != nil {
+		return false, err
+	}
+	id := w.Call.Mark
+	size := q.Length.Bytes
+	if q.Length.Chunked {
+		size = f.opt.Limits.Message.Body
+	}
+	if err := f.enter(id, size); err != nil {
+		return false, err
+	}
+	defer f.leave(id, size)
+	if q.Waits {
+		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return false, err
+		}
+	}
+	if w.Call.Data, err = http1.ReadBody(c.in, q.Length, f.opt.Limits.Message); err != nil {
+		return false, late(err)
+	}
+	c.raw.SetReadDeadline(time.Time{})
+	if !c.to(waiting) {
+		return false, net.ErrClosed
+	}
+	w.StopBy = f.opt.Loop.Now() + w.StopBy
+	w.Told = func() { c.raw.SetReadDeadline(time.Unix(1, 0)) } // wakes the look for the client's end below
+	done := f.opt.Loop.Do(c.session, w)
+	if _, err := c.in.Peek(1); err != nil && !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
+		f.opt.Loop.Left(c.session)
+		<-done
+		return false, err
+	}
+	r := <-done // where the next request is here already, the client's end is not seen before it is read
+	if r.State == decide.Withdrawn || !c.to(writing) {
+		return false, net.ErrClosed
+	}
+	f.lock.Lock()
+	last := q.Close || f.stopping
+	f.lock.Unlock()
+	return !last, c.write(answer(r, last))
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
+// late gives a request that does not come to its end in time its answer.
+func late(err error) error {
+	if isTimeout(err) {
+		return &http1.Error{Status: 408, Why: "the request did not come to its end in time"}
+	}
+	return err
+}
+
+// answer puts a job's result into a message.
+func answer(r gateway.Result, last bool) []byte {
+	var w *http1.Writer
+	body := r.Answer.Data
+	switch r.State {
+	case decide.Completed:
+		w = http1.NewAnswer(200)
+	case decide.Dismissed:
+		w, body = http1.NewAnswer(503), []byte("dismissed: trying again is harmless\n")
+		if r.Wait > 0 {
+			ms := (r.Wait + time.Millisecond - 1) / time.Millisecond
+			w.Field("Retry-After", fmt.Sprintf("%d.%03d", ms/1000, ms%1000))
+		}
+	default:
+		w, body = http1.NewAnswer(502), []byte("written off: it may have been done or not\n")
+	}
+	if last {
+		w.Field("Connection", "close")
+	}
+	return w.Body(body, true)
+}
+
+// health answers whether the gateway can be used.
+func (c *conn) health(q *http1.Request) (bool, error) {
+	if q.Method != "GET" || q.Length.Bytes > 0 || q.Length.Chunked {
+		return false, &http1.Error{Status: 405, Why: "GET alone"}
+	}
+	c.front.lock.Lock()
+	stopping := c.front.stopping
+	c.front.lock.Unlock()
+	if stopping {
+		return false, &http1.Error{Status: 503, Why: "the gateway ends"}
+	}
+	w := http1.NewAnswer(200)
+	if q.Close {
+		w.Field("Connection", "close")
+	}
+	return !q.Close, c.write(w.Body([]byte("ok\n"), true))
+}
+
+// enter counts a request in, unless its id is open or the memory for bodies is used up.
+func (f *Front) enter(id string, size int64) error {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.open[id] {
+		return &http1.Error{Status: 409, Why: "a request of this id is open"}
+	}
+	if f.bodies+size > f.opt.Limits.Bodies {
+		return &http1.Error{Status: 503, Why: "too many bytes are held"}
+	}
+	f.open[id] = true
+	f.bodies += size
+	return nil
+}
+
+func (f *Front) leave(id string, size int64) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	delete(f.open, id)
+	f.bodies -= size
+}
+
+// Figures tells how many connections are open, and how many requests without an answer.
+func (f *Front) Figures() (conns, requests int) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return len(f.conns), len(f.open)
+}
+
+// Stop ends the front: for so long connections are still taken, each closed with its next answer; then what is idle is closed,
+// and what was taken has its answer. The context's end ends it all.
+func (f *Front) Stop(ctx context.Context, taken time.Duration) {
+	f.lock.Lock()
+	f.stopping = true
+	f.lock.Unlock()
+	select {
+	case <-time.After(taken):
+	case <-ctx.Done():
+	}
+	f.listener.Close()
+	f.lock.Lock()
+	f.closed = true
+	left := len(f.conns)
+	for c := range f.conns {
+		if c.state == fresh || c.state == idle {
+			c.move(ended)
+		}
+	}
+	f.lock.Unlock()
+	if left == 0 {
+		return
+	}
+	select {
+	case <-f.none:
+	case <-ctx.Done():
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		for c := range f.conns {
+			c.move(ended)
+		}
+	}
+}
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -68,31 +68,34 @@
 func Terms(f *Fields) decide.Terms {
 	terms := decide.Terms{}
 	for f.More() {
-		path, value, ok := strings.Cut(string(f.optional()), "=")
-		if !ok {
-			continue
+		if path, value, ok := strings.Cut(string(f.optional()), "="); ok {
+			Rename(terms, path, value)
 		}
-		list, rest, _ := strings.Cut(path, ".")
-		number, field, isItem := strings.Cut(rest, ".")
-		isItem = isItem && number != "" && strings.Trim(number, "0123456789") == ""
-		if isItem {
-			path = list + ".#." + field
-		}
-		name, known := names[path]
-		if !known {
-			continue
-		}
-		if isItem {
-			name = strings.Replace(name, "#", number, 1)
-		}
-		if ours, ok := words[name[strings.LastIndexByte(name, '.')+1:]][value]; ok {
-			value = ours
-		}
-		terms[name] = value
 	}
 	return terms
 }
 
+// Rename adds a start value to the terms by the name that the module knows it by. One that it does not know is left out.
+func Rename(terms decide.Terms, path, value string) {
+	list, rest, _ := strings.Cut(path, ".")
+	number, field, isItem := strings.Cut(rest, ".")
+	isItem = isItem && number != "" && strings.Trim(number, "0123456789") == ""
+	if isItem {
+		path = list + ".#." + field
+	}
+	name, known := names[path]
+	if !known {
+		return
+	}
+	if isItem {
+		name = strings.Replace(name, "#", number, 1)
+	}
+	if ours, ok := words[name[strings.LastIndexByte(name, '.')+1:]][value]; ok {
+		value = ours
+	}
+	terms[name] = value
+}
+
 // outcomes by completion code.
 var outcomes = [...]decide.Outcome{decide.Erred, decide.Served, decide.Full, decide.TimedOut, decide.Unconnected,
 	decide.Reset, decide.CalledOff, decide.Moot}
