Serve open connections after SIGTERM until shortly before the kill; idle ones 2.2 s

Excluded: the list (read within 0.1 s after each SIGHUP). Front.Stop closed what was idle 0.5 s after SIGTERM.

--- a/cmd/irispost/web.go
+++ b/cmd/irispost/web.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"context"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -45,9 +43,8 @@
 			}
 		}
 		log.Info("the gateway ends", "gateway", conf.Name)
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		defer cancel()
-		g.Stop(ctx)
+		g.Stop()
+		log.Info("the gateway has ended", "gateway", conf.Name)
 		return nil
 	}
 	return c
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -161,6 +161,24 @@
 	return ""
 }
 
+// The platform kills a gateway that it ends after the longest time that a client waits, counted as longestWait at most, and
+// afterWait more.
+const (
+	longestWait = 3 * time.Second
+	afterWait   = 700 * time.Millisecond
+)
+
+// Grace is how long a gateway has from being told to end to being killed.
+func (c *Config) Grace() time.Duration {
+	longest := 0.0
+	count, _ := strconv.Atoi(c.Terms["products.count"])
+	for i := range count {
+		ms, _ := strconv.ParseFloat(c.Terms["products."+strconv.Itoa(i)+".patience"], 64)
+		longest = max(longest, ms)
+	}
+	return min(time.Duration(longest*float64(time.Millisecond)), longestWait) + afterWait
+}
+
 // Hold is how long the list's service may hold a watch open: often enough within the time after which a gateway that has not asked
 // counts as told all the same, so that a service that fell silent is noticed before.
 func (c *Config) Hold() time.Duration {
--- a/internal/serve/web.go
+++ b/internal/serve/web.go
@@ -50,7 +50,7 @@
 	go list.Run(ctx, g.Loop.List, g.Loop.ListFailed)
 	g.Front, err = web.Start(c.Listen, web.Options{Name: c.Name, Loop: g.Loop, Terms: c.Terms, Log: log, Limits: web.Limits{
 		Connections: int(frontSockets * float64(c.Sockets)), Bodies: int64(bodyMemory * float64(c.Memory)),
-		First: 2500 * time.Millisecond, Request: 2500 * time.Millisecond, Idle: 10 * time.Second, Spare: 2 * time.Second,
+		First: 2500 * time.Millisecond, Request: 2500 * time.Millisecond, Idle: 2200 * time.Millisecond, Spare: 500 * time.Millisecond,
 		Write: 5 * time.Second, Message: http1.DefaultBounds}})
 	if err != nil {
 		g.cancel()
@@ -66,9 +66,19 @@
 	g.list.Move(c.Discovery)
 }
 
-// Stop ends the gateway: connections are taken for a moment still, and what was taken has its answer, until the context ends.
-func (g *Web) Stop(ctx context.Context) {
-	g.Front.Stop(ctx, 500*time.Millisecond)
+// Parts of the time that the platform leaves a gateway that it ends.
+const (
+	takenStill = 500 * time.Millisecond // connections still come
+	lastWork   = time.Second            // before the end, no request is begun
+	lastWord   = 150 * time.Millisecond // before the end, what is left is written off
+)
+
+// Stop ends the gateway within the time that the platform leaves it.
+func (g *Web) Stop() {
+	grace := g.Config.Grace()
+	ctx, cancel := context.WithTimeout(context.Background(), grace-lastWord)
+	defer cancel()
+	g.Front.Stop(ctx, takenStill, grace-lastWork)
 	g.cancel()
 	g.Loop.Stop()
 	g.Nodes.Close()
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -50,14 +50,23 @@
 	listener net.Listener
 	lock     sync.Mutex
 	conns    map[*conn]bool
-	open     map[string]bool // ids of requests without an answer
+	asked    map[string]bool // ids of requests without an answer
 	bodies   int64
 	count    int64
-	stopping bool
-	closed   bool
-	none     chan struct{} // closed when the front is closed and no connection is left
+	phase    phase
+	none     chan struct{} // closed when no connection can come and none is left
 }
 
+// phase is how far the front's end has come.
+type phase uint8
+
+const (
+	open    phase = iota
+	leaving       // connections are taken, but the gateway is not to be put to use
+	deaf          // none are taken; those that are open are served
+	closing       // each is closed with its next answer
+)
+
 // connState is where a client's connection stands. Only conn.move changes it.
 type connState uint8
 
@@ -87,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Front{opt: opt, known: knownBy(opt.Terms), listener: l, conns: map[*conn]bool{}, open: map[string]bool{},
+	f := &Front{opt: opt, known: knownBy(opt.Terms), listener: l, conns: map[*conn]bool{}, asked: map[string]bool{},
 		none: make(chan struct{})}
 	go f.accept()
 	return f, nil
@@ -122,7 +131,7 @@
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	now := time.Now()
-	if len(f.conns) >= f.opt.Limits.Connections && !f.spare(now) || f.closed {
+	if len(f.conns) >= f.opt.Limits.Connections && !f.spare(now) || f.phase >= deaf {
 		return nil
 	}
 	f.count++
@@ -158,7 +167,7 @@
 	if to == ended {
 		c.raw.Close()
 		delete(c.front.conns, c)
-		if c.front.closed && len(c.front.conns) == 0 {
+		if c.front.phase >= deaf && len(c.front.conns) == 0 {
 			close(c.front.none)
 		}
 	}
@@ -270,7 +279,7 @@
 		return false, net.ErrClosed
 	}
 	f.lock.Lock()
-	last := q.Close || f.stopping
+	last := q.Close || f.phase == closing
 	f.lock.Unlock()
 	return !last, c.write(answer(r, last))
 }
@@ -316,9 +325,9 @@
 		return false, &http1.Error{Status: 405, Why: "GET alone"}
 	}
 	c.front.lock.Lock()
-	stopping := c.front.stopping
+	leaves := c.front.phase > open
 	c.front.lock.Unlock()
-	if stopping {
+	if leaves {
 		return false, &http1.Error{Status: 503, Why: "the gateway ends"}
 	}
 	w := http1.NewAnswer(200)
@@ -332,13 +341,13 @@
 func (f *Front) enter(id string, size int64) error {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	if f.open[id] {
+	if f.asked[id] {
 		return &http1.Error{Status: 409, Why: "a request of this id is open"}
 	}
 	if f.bodies+size > f.opt.Limits.Bodies {
 		return &http1.Error{Status: 503, Why: "too many bytes are held"}
 	}
-	f.open[id] = true
+	f.asked[id] = true
 	f.bodies += size
 	return nil
 }
@@ -346,7 +355,7 @@
 func (f *Front) leave(id string, size int64) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	delete(f.open, id)
+	delete(f.asked, id)
 	f.bodies -= size
 }
 
@@ -354,39 +363,54 @@
 func (f *Front) Figures() (conns, requests int) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	return len(f.conns), len(f.open)
+	return len(f.conns), len(f.asked)
 }
 
-// Stop ends the front: for so long connections are still taken, each closed with its next answer; then what is idle is closed,
-// and what was taken has its answer. The context's end ends it all.
-func (f *Front) Stop(ctx context.Context, taken time.Duration) {
+// Stop ends the front: for so long connections are still taken, and those that are open are served for so long, since their
+// clients have nowhere else to go; then each is closed with its answer, and what is idle at once. At the context's end the
+// gateway's loop is stopped, which writes off what it holds.
+func (f *Front) Stop(ctx context.Context, taken, served time.Duration) {
+	began := time.Now()
 	f.lock.Lock()
-	f.stopping = true
+	f.phase = leaving
 	f.lock.Unlock()
-	select {
-	case <-time.After(taken):
-	case <-ctx.Done():
-	}
+	rest(ctx, taken, nil)
 	f.listener.Close()
 	f.lock.Lock()
-	f.closed = true
+	f.phase = deaf
 	left := len(f.conns)
+	f.lock.Unlock()
+	if left == 0 {
+		return
+	}
+	rest(ctx, served-time.Since(began), f.none)
+	f.lock.Lock()
+	f.phase = closing
 	for c := range f.conns {
 		if c.state == fresh || c.state == idle {
 			c.move(ended)
 		}
 	}
 	f.lock.Unlock()
-	if left == 0 {
+	select {
+	case <-f.none:
 		return
+	case <-ctx.Done():
+	}
+	f.opt.Loop.Stop()
+	rest(context.Background(), 50*time.Millisecond, f.none) // the last answers go out
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for c := range f.conns {
+		c.move(ended)
 	}
+}
+
+// rest waits for a while, or until the context or the channel ends it.
+func rest(ctx context.Context, d time.Duration, done <-chan struct{}) {
 	select {
-	case <-f.none:
+	case <-time.After(d):
 	case <-ctx.Done():
-		f.lock.Lock()
-		defer f.lock.Unlock()
-		for c := range f.conns {
-			c.move(ended)
-		}
+	case <-done:
 	}
 }
