Under a crowd, idle connections go after half a second; at the cap the oldest goes

Excluded: the module, requests that cannot be read (none), bytes held, CPU (0.3 of the limit). The log of the new mode 'connections run short': 172 open, 164 of them idle for under 2 s, 1,000 to 1,600 turned away at each gateway: clients that ask once and stay. To blame: Front.spare, which let none under 2 s go.

--- a/internal/serve/web.go
+++ b/internal/serve/web.go
@@ -53,7 +53,7 @@
 	go list.Run(ctx, g.Loop.List, g.Loop.ListFailed)
 	g.Front, err = web.Start(c.Listen, web.Options{Name: c.Name, Loop: g.Loop, Terms: c.Terms, Log: log, Limits: web.Limits{
 		Connections: int(frontSockets * float64(c.Sockets)), Crowd: int(frontCrowd * float64(c.Sockets)), Bodies: int64(bodyMemory * float64(c.Memory)),
-		First: 2500 * time.Millisecond, Request: 2500 * time.Millisecond, Idle: 20 * time.Second, Spare: 2 * time.Second,
+		First: 2500 * time.Millisecond, Request: 2500 * time.Millisecond, Idle: 20 * time.Second, Spare: 500 * time.Millisecond,
 		Write: 5 * time.Second, Message: http1.DefaultBounds}})
 	if err != nil {
 		g.cancel()
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -54,6 +54,9 @@
 	asked    map[string]bool // ids of requests without an answer
 	bodies   int64
 	count    int64
+	refused  int  // connections that were turned away
+	spared   int  // connections that were ended for others
+	short    bool // the mode last logged
 	phase    phase
 	none     chan struct{} // closed when no connection can come and none is left
 }
@@ -134,6 +137,7 @@
 	defer f.lock.Unlock()
 	now := time.Now()
 	if len(f.conns) >= f.opt.Limits.Connections && !f.spare(now, f.opt.Limits.Spare/8) || f.phase >= deaf {
+		f.refused++
 		return nil
 	}
 	f.count++
@@ -148,6 +152,7 @@
 func (f *Front) tend() {
 	tick := time.NewTicker(max(f.opt.Limits.Spare/8, 10*time.Millisecond))
 	defer tick.Stop()
+	refused := 0
 	for {
 		select {
 		case <-f.none:
@@ -156,16 +161,19 @@
 			f.lock.Lock()
 			for len(f.conns) > f.opt.Limits.Crowd && f.spare(now, f.opt.Limits.Spare) {
 			}
+			f.tell(refused)
+			refused = f.refused
 			f.lock.Unlock()
 		}
 	}
 }
 
-// spare ends the connection that can go best: one that has not said anything for a while, else one that has been idle for long.
-func (f *Front) spare(now time.Time, silent time.Duration) bool {
+// spare ends the connection that can go best: one that has not said anything, else the one that has been idle for longest; but
+// none that is younger than this.
+func (f *Front) spare(now time.Time, least time.Duration) bool {
 	var best *conn
 	for c := range f.conns {
-		if age := now.Sub(c.since); c.state > idle || c.state == idle && age < f.opt.Limits.Spare || age < silent {
+		if c.state > idle || now.Sub(c.since) < least {
 			continue
 		}
 		if best == nil || c.state < best.state || c.state == best.state && c.since.Before(best.since) {
@@ -173,11 +181,25 @@
 		}
 	}
 	if best != nil {
+		f.spared++
 		best.move(ended)
 	}
 	return best != nil
 }
 
+// tell logs when connections begin or cease to run short; the lock is held.
+func (f *Front) tell(refused int) {
+	if short := f.refused > refused; short != f.short {
+		f.short = short
+		states := map[connState]int{}
+		for c := range f.conns {
+			states[c.state]++
+		}
+		f.opt.Log.Info(fmt.Sprintf("connections run short: %t, %d open, %d silent, %d idle; %d turned away, %d ended for others",
+			short, len(f.conns), states[fresh], states[idle], f.refused, f.spared), "gateway", f.opt.Name)
+	}
+}
+
 // move is the one place where a connection changes state; the lock is held. false tells that it has ended.
 func (c *conn) move(to connState) bool {
 	if c.state == ended {
--- a/internal/web/front_test.go
+++ b/internal/web/front_test.go
@@ -288,6 +288,37 @@
 	}
 }
 
+// TestCrowd: past the crowd, those who asked once and stay go, however many connections there may be; who waits for an answer stays.
+func TestCrowd(t *testing.T) {
+	l := limits()
+	l.Crowd, l.Spare = 2, 20*time.Millisecond
+	w := start(t, l)
+	var all []*client
+	for i := range 5 {
+		c := w.dial(t)
+		c.send(ask(fmt.Sprint("r", i)))
+		c.expect(200, "a request")
+		all = append(all, c)
+	}
+	w.nodes.lock.Lock()
+	w.nodes.hold = true
+	w.nodes.lock.Unlock()
+	busy := w.dial(t)
+	busy.send(ask("busy"))
+	<-w.nodes.more
+	for {
+		if conns, _ := w.Figures(); conns <= 2 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for _, c := range all[:3] { // the oldest first
+		c.expect(0, "one that stays")
+	}
+	w.nodes.out["busy"].serve()
+	busy.expect(200, "one that waits")
+}
+
 func TestBytesRunShort(t *testing.T) {
 	l := limits()
 	l.Bodies = 6
