--- a/decide/decide.go
+++ b/decide/decide.go
@@ -755,7 +755,7 @@
 			vain = 0
 		}
 		g.vain += gapMemory * (vain - g.vain)
-		g.mode(&g.loses, g.vain > vainShare, "what is overdue counts as lost: %%t, %.0f%%%% had no answer", 100*g.vain)
+		g.mode(&g.loses, g.vain > vainShare, "overdue counts as lost: %%t, %.0f%%%% had no answer", 100*g.vain)
 	}
 	if e.Outcome == Served || e.Outcome == Full {
 		fail = 0
@@ -952,11 +952,11 @@
 	g.roundAt = g.now + max(g.aim/roundsPerAim, Millisecond)
 }
 
-// overlook looks at a job that has an execution out. At a node that fails some, or where most that were overdue
-// had no answer, one that is out for several times what it should take, while later ones have been answered,
-// counts as lost: it holds no room any more, and the job is sent once more while it can make its goal; so is a
-// new object at a suspect node. It guards against nodes that lose some of what they take and connections that
-// fall silent; it could hurt where a failing node is also slow.
+// overlook looks at a job that has an execution out. At a node that fails some, or where most that were
+// overdue had no answer, one that is out for several times what it should take, while later ones have been
+// answered, counts as lost: it holds no room any more, and the job is sent once more while it can make its
+// goal; so is a new object at a suspect node. It guards against nodes that lose some of what they take and
+// connections that fall silent; it could hurt where a failing node is also slow.
 func (g *Gateway) overlook(j *Job) {
 	e := j.Execs[len(j.Execs)-1]
 	if e.Outcome != Out {
