Ask the list again a quarter of a second after a call that failed once

Logs: 19 list calls failed, their answers broken off; one gateway stood at version 1 from 8 to 18 s. Excluded: connections that run short and clients that leave (no such mode), silent attempts (sent again). To blame: listWait in decide.go, 1 s and doubled by each failure in a row.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,7 +50,7 @@
 	leavingShare = 0.25              // where more of those that wait as long leave, jobs count by when they do
 	coldShare    = 0.5               // part of the multiple of what a cold node can do that is used
 	roundsPerAim = 8                 // periodic rounds in one aim
-	listWait     = 1 * Second        // first wait after a failed list call; it doubles up to the most
+	listWait     = 250 * Millisecond // first wait after a failed list call; it doubles up to the most
 	listWaitMost = 16 * Second
 )
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -488,6 +488,31 @@
 	}
 }
 
+// Guard: a list call that fails once is made again soon, since nodes may be leaving; one that goes on failing, ever less often, so that
+// the gateways do not come back at one moment; and a list that comes makes the next failure the first again.
+func TestListIsAskedAgainSoonAtFirst(t *testing.T) {
+	w := newWorld(1, terms("discovery=ask"))
+	asked := func() Time {
+		from := w.now
+		w.g.ListFailed(w.now)
+		for ; w.now < from+60*Second; w.now += 10 * Millisecond {
+			if w.g.Decide(w.now).Watch {
+				break
+			}
+		}
+		return w.now - from
+	}
+	w.g.Decide(w.now)
+	first := asked()
+	want(t, w, "soon at first", first <= 500*Millisecond, true)
+	for range 8 {
+		asked()
+	}
+	want(t, w, "seldom then", asked() >= 8*Second, true)
+	w.list("a0", 0, 0, Ready)
+	want(t, w, "soon again", asked() <= 500*Millisecond, true)
+}
+
 // Guard: a retry past its goal is not sent to a node that is busy with others' work, though nothing of ours is out.
 func TestRetryPastItsGoalNeedsALightNode(t *testing.T) {
 	for _, took := range []Time{10, 70} {
