Clients' hard cases as scripts in one table; an answer that is not taken

Seven tests of the front had the same frame around a few steps. They are scripts now, and the limit on answers that a client does not take, which had no test, is one of them.

--- a/internal/web/front_test.go
+++ b/internal/web/front_test.go
@@ -3,12 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +21,7 @@
 	"irispost/internal/listing"
 	"irispost/internal/node"
 	"irispost/internal/platform"
+	"irispost/internal/testkit"
 	"irispost/internal/web"
 )
 
@@ -146,31 +147,114 @@
 
 const served = " /api?extent=7f3a9c21e0b4d655 body"
 
-func TestRequestsAreServed(t *testing.T) {
-	w := start(t, limits())
-	c := w.dial(t)
-	c.send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
-	c.expect(200, "health")
-	for i := range 3 {
-		c.send(ask(fmt.Sprint("r", i)))
-		if status, _, body := c.read(); status != 200 || body != fmt.Sprint("r", i)+served {
-			t.Fatalf("%d %q", status, body)
+// play carries out a script: steps parted by ";", each of words. "NAME ask ID", "NAME send BYTES ID" (the first so many bytes of a request, or
+// all but so many), "NAME chunks ID", "NAME close"; "NAME STATUS" reads an answer, 0 for the connection's end, and 200 has to be the
+// client's own; "hold" and "free" have the node hold what comes or serve it at once; "held", "serve ID" and "off ID" wait for one that is held, serve
+// it, and wait until it is called off, "flood ID" serves it at length; "conns N" waits until so many are open at most.
+func play(t *testing.T, w *town, script string) {
+	t.Helper()
+	clients, ids := map[string]*client{}, map[string][]string{}
+	for step := range strings.SplitSeq(script, ";") {
+		words := append(strings.Fields(step), "", "", "")
+		name, verb := words[0], words[1]
+		switch name {
+		case "hold", "free":
+			w.nodes.lock.Lock()
+			w.nodes.hold = name == "hold"
+			w.nodes.lock.Unlock()
+			continue
+		case "held":
+			<-w.nodes.more
+			continue
+		case "serve":
+			w.nodes.out[verb].serve()
+			continue
+		case "flood": // a long answer, of which the client reads nothing
+			w.nodes.out[verb].done(node.Answer{Outcome: node.Served, Data: make([]byte, 64<<20)})
+			continue
+		case "off":
+			<-w.nodes.out[verb].off
+			continue
+		case "conns":
+			for n, _ := strconv.Atoi(verb); ; time.Sleep(time.Millisecond) {
+				if conns, requests := w.Figures(); conns <= n && (requests == 0 || n > 0) {
+					break
+				}
+			}
+			continue
 		}
-	}
-	c.send(ask("p1") + ask("p2") + ask("p3")) // sent ahead: one after the other
-	for _, id := range []string{"p1", "p2", "p3"} {
-		if status, _, body := c.read(); status != 200 || body != id+served {
-			t.Fatalf("%d %q", status, body)
+		c := clients[name]
+		if c == nil {
+			c = w.dial(t)
+			clients[name] = c
+		}
+		switch verb {
+		case "ask", "chunks":
+			ids[name] = append(ids[name], words[2])
+			text := ask(words[2])
+			if verb == "chunks" {
+				text = strings.Replace(strings.TrimSuffix(text, "body"), "Content-Length: 4", "Transfer-Encoding: chunked", 1) +
+					"1\r\nb\r\n3\r\nody\r\n0\r\n\r\n"
+			}
+			c.send(text)
+		case "send":
+			n, _ := strconv.Atoi(words[2])
+			text := ask(words[3])
+			c.send(text[:(n+len(text))%len(text)])
+		case "last":
+			ids[name] = append(ids[name], words[2])
+			c.send(strings.Replace(ask(words[2]), "Host", "Connection: close\r\nHost", 1))
+		case "health":
+			c.send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+			ids[name] = append(ids[name], "")
+		case "dial":
+		case "close":
+			c.Close()
+		default:
+			status, _, body := c.read()
+			if fmt.Sprint(status) != verb {
+				t.Fatalf("%s: status %d, not %s (%q)", step, status, verb, body)
+			}
+			if status == 200 {
+				if id := ids[name][0]; body != id+served && (id != "" || body != "ok\n") {
+					t.Fatalf("%s: %q", step, body)
+				}
+				ids[name] = ids[name][1:]
+			}
 		}
 	}
-	c.send(strings.TrimSuffix(strings.Replace(ask("chunks"), "Content-Length: 4", "Transfer-Encoding: chunked", 1), "body") +
-		"1\r\nb\r\n3\r\nody\r\n0\r\n\r\n")
-	if status, _, body := c.read(); status != 200 || body != "chunks"+served {
-		t.Fatalf("%d %q", status, body)
+}
+
+func TestScripts(t *testing.T) {
+	short := func(l *web.Limits) {
+		l.First, l.Request, l.Idle = 30*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
+	}
+	for name, c := range map[string]struct {
+		limits func(*web.Limits)
+		script string
+	}{
+		"requests in turn":     {nil, "a health; a 200; a ask 1; a 200; a ask p; a ask q; a ask r; a 200; a 200; a 200; a chunks s; a 200; a last z; a 200; a 0"},
+		"an id that is open":   {nil, "hold; a ask x; held; b ask x; b 409; serve x; a 200; free; c ask x; c 200"},
+		"a client that leaves": {nil, "hold; a ask x; held; a close; off x; conns 0"},
+		"nothing is said":      {short, "a dial; a 0"},
+		"half a head":          {short, "a send 40 x; a 408"},
+		"half a body":          {short, "a send -2 x; a 408; b ask y; b 200; b send 40 z; b 408"},
+		"idle for too long":    {short, "a ask x; a 200; a 0"},
+		"no connection free": {func(l *web.Limits) { l.Connections, l.Spare = 3, 0 },
+			"hold; a ask a; held; b ask b; held; s dial; c ask c; s 0; held; d dial; d 503; serve a; a 200; serve b; b 200; serve c; c 200"},
+		"a crowd": {func(l *web.Limits) { l.Crowd, l.Spare = 2, 20*time.Millisecond },
+			"a ask 1; a 200; b ask 2; b 200; c ask 3; c 200; hold; d ask d; held; conns 2; a 0; b 0; serve d; d 200"},
+		"no bytes free":               {func(l *web.Limits) { l.Bodies = 6 }, "hold; a ask a; held; b ask b; b 503; serve a; a 200"},
+		"an answer that is not taken": {func(l *web.Limits) { l.Write = 30 * time.Millisecond }, "hold; a ask a; held; flood a; conns 0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := limits()
+			if c.limits != nil {
+				c.limits(&l)
+			}
+			play(t, start(t, l), c.script)
+		})
 	}
-	c.send(strings.Replace(ask("last"), "Host", "Connection: close\r\nHost", 1))
-	c.expect(200, "the last one")
-	c.expect(0, "the end")
 }
 
 func TestRequestsThatCannotBe(t *testing.T) {
@@ -211,128 +295,6 @@
 	}
 }
 
-func TestIdThatIsOpen(t *testing.T) {
-	w := start(t, limits())
-	w.nodes.hold = true
-	first, second := w.dial(t), w.dial(t)
-	first.send(ask("same"))
-	<-w.nodes.more
-	second.send(ask("same"))
-	second.expect(409, "an id that is open")
-	w.nodes.out["same"].serve()
-	first.expect(200, "the first")
-	w.nodes.hold = false
-	again := w.dial(t)
-	again.send(ask("same"))
-	again.expect(200, "when it is no longer open")
-}
-
-func TestClientThatLeaves(t *testing.T) {
-	w := start(t, limits())
-	w.nodes.hold = true
-	c := w.dial(t)
-	c.send(ask("gone"))
-	<-w.nodes.more
-	c.Close()
-	<-w.nodes.out["gone"].off // the execution is called off
-	for {
-		if conns, requests := w.Figures(); conns == 0 && requests == 0 {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func TestTimesRunOut(t *testing.T) {
-	l := limits()
-	l.First, l.Request, l.Idle = 30*time.Millisecond, 30*time.Millisecond, 30*time.Millisecond
-	w := start(t, l)
-	silent, half, slow := w.dial(t), w.dial(t), w.dial(t)
-	half.send(ask("half")[:40])
-	slow.send(ask("slow")[:len(ask("slow"))-2])
-	silent.expect(0, "a client that says nothing")
-	half.expect(408, "half a head")
-	slow.expect(408, "half a body")
-	c := w.dial(t)
-	c.send(ask("r"))
-	c.expect(200, "a request")
-	c.expect(0, "a connection that is idle")
-}
-
-func TestConnectionsRunShort(t *testing.T) {
-	l := limits()
-	l.Connections, l.Spare = 3, 0
-	w := start(t, l)
-	w.nodes.hold = true
-	a, b := w.dial(t), w.dial(t)
-	a.send(ask("a"))
-	b.send(ask("b"))
-	<-w.nodes.more
-	<-w.nodes.more
-	silent := w.dial(t)
-	for {
-		if conns, _ := w.Figures(); conns == 3 {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	c := w.dial(t)
-	silent.expect(0, "the silent one goes")
-	c.send(ask("c"))
-	<-w.nodes.more
-	d := w.dial(t)
-	d.expect(503, "none can go")
-	for id, o := range map[string]*client{"a": a, "b": b, "c": c} {
-		w.nodes.out[id].serve()
-		o.expect(200, id)
-	}
-}
-
-// TestCrowd: past the crowd, those who asked once and stay go, however many connections there may be; who waits for an answer stays.
-func TestCrowd(t *testing.T) {
-	l := limits()
-	l.Crowd, l.Spare = 2, 20*time.Millisecond
-	w := start(t, l)
-	var all []*client
-	for i := range 5 {
-		c := w.dial(t)
-		c.send(ask(fmt.Sprint("r", i)))
-		c.expect(200, "a request")
-		all = append(all, c)
-	}
-	w.nodes.lock.Lock()
-	w.nodes.hold = true
-	w.nodes.lock.Unlock()
-	busy := w.dial(t)
-	busy.send(ask("busy"))
-	<-w.nodes.more
-	for {
-		if conns, _ := w.Figures(); conns <= 2 {
-			break
-		}
-		time.Sleep(time.Millisecond)
-	}
-	for _, c := range all[:3] { // the oldest first
-		c.expect(0, "one that stays")
-	}
-	w.nodes.out["busy"].serve()
-	busy.expect(200, "one that waits")
-}
-
-func TestBytesRunShort(t *testing.T) {
-	l := limits()
-	l.Bodies = 6
-	w := start(t, l)
-	w.nodes.hold = true
-	a, b := w.dial(t), w.dial(t)
-	a.send(ask("a"))
-	<-w.nodes.more
-	b.send(ask("b"))
-	b.expect(503, "over the bytes that may be held")
-	w.nodes.out["a"].serve()
-	a.expect(200, "a")
-}
-
 // TestEnd: after the word to end, open connections are served on; then each closes with its answer, and what has none is written off.
 func TestEnd(t *testing.T) {
 	w := start(t, limits())
@@ -372,7 +334,7 @@
 func TestAnyClients(t *testing.T) {
 	w := start(t, limits())
 	count := 0
-	sameSeeds(t)
+	testkit.SameSeeds(t)
 	rapid.Check(t, func(r *rapid.T) {
 		var wait sync.WaitGroup
 		for range rapid.IntRange(1, 8).Draw(r, "clients") {
@@ -420,11 +382,3 @@
 		time.Sleep(time.Millisecond)
 	}
 }
-
-// sameSeeds has the checks draw the same each time.
-func sameSeeds(t *testing.T) {
-	flag.Set("rapid.nofailfile", "true")
-	if err := flag.Set("rapid.seed", "7"); err != nil {
-		t.Fatal(err)
-	}
-}
