Versions of rules, their meet, and leases by which gateways come to act on one

Need: two gateways can act on settings and lists that contradict each other for any length of time; each reads its own.

Change: internal/fleet/rules holds what gateways agree on, with a canonical form, a BLAKE3 digest, what one allows beyond another, the meet of two and the floor for a gateway that is cut off. internal/fleet/accord decides when a version may come into force (Ledger, Warden) and what a gateway acts on meanwhile (Follower). Both are pure.

The runs found two faults while this was written: a version that nobody could read stopped all later ones, and a lease given between a decision and its place in the log.

--- /dev/null
+++ b/internal/fleet/accord/follower.go
@@ -0,0 +1,244 @@
+package accord
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"irispost/internal/fleet/rules"
+)
+
+// State is how a gateway stands with the keepers. Only Follower.move changes it.
+type State uint8
+
+const (
+	Following State = iota // in touch, or about to be; holds nothing yet
+	Acting                 // on one version, under a lease
+	Prepared               // on the meet of two, under a lease
+	Lapsed                 // on the floor of what it held: the lease has run out
+	Ended                  // on nothing: the floor has run out as well
+	Returning              // as Lapsed or Ended, and the keepers were heard again, without a lease on what they said
+)
+
+var states = [...]string{"following", "acting", "prepared", "lapsed", "ended", "returning"}
+
+func (s State) String() string { return states[s] }
+
+// Follower is a gateway's side. All its times are the gateway's own clock.
+type Follower struct {
+	who     string
+	state   State
+	held    []*rules.Version // one, or two whose meet counts
+	opened  []*rules.Rules   // the same
+	effect  *rules.Rules     // what it acts on; nil: nothing
+	name    string           // of that, for people and records
+	seq     uint64           // of the last ask
+	taken   uint64           // of the grant that was taken last
+	term    uint64           // of it
+	inForce uint64
+	newest  uint64 // announced
+	asked   []asked
+	lease   Time
+	floor   Time
+	again   bool // ask at once
+	next    Time // or then
+	pause   Time
+	trouble string
+	log     []string
+	flaws   Flaws
+}
+
+// asked is an ask that is out.
+type asked struct {
+	seq uint64
+	at  Time
+}
+
+// Follow makes a follower that knows nothing.
+func Follow(who string, pause Time, flaws Flaws) *Follower {
+	return &Follower{who: who, pause: pause, flaws: flaws, name: "none"}
+}
+
+// move is the one place where the state changes.
+func (f *Follower) move(to State, why string) {
+	if f.state == to {
+		return
+	}
+	f.log = append(f.log, fmt.Sprintf("rules: %s -> %s, %s: %s", f.state, to, f.name, why))
+	f.state = to
+}
+
+// Due tells when to ask next.
+func (f *Follower) Due(now Time) Time {
+	if f.again {
+		return now
+	}
+	return f.next
+}
+
+// Ask is what to ask now. A lease that comes of it counts from now.
+func (f *Follower) Ask(now Time) *Ask {
+	f.At(now)
+	f.seq++
+	f.again, f.next = false, now+f.pause
+	f.asked = append(f.asked, asked{f.seq, now})
+	if len(f.asked) > 16 {
+		f.asked = f.asked[1:]
+	}
+	a := &Ask{Who: f.who, Seq: f.seq, Term: f.term, Taken: f.taken, State: f.state.String(), Trouble: f.trouble}
+	for _, v := range f.held {
+		a.Holds = append(a.Holds, v.Number)
+	}
+	return a
+}
+
+// Heard takes a grant. One that is older than what was taken already is left.
+func (f *Follower) Heard(now Time, g *Grant) {
+	f.At(now)
+	at, known := Time(0), false
+	for _, a := range f.asked {
+		if a.seq == g.Seq {
+			at, known = a.at, true
+		}
+	}
+	old := g.Seq <= f.taken || g.Term < f.term || g.InForce < f.inForce || g.Announced < f.newest
+	if !known || old && !f.flaws.Has(TakesOld) {
+		return
+	}
+	f.again = f.again || f.term != g.Term // so that the keeper that leads now hears what is held here
+	held, opened, acts, trouble := f.gather(g)
+	if trouble != f.trouble {
+		f.trouble, f.again = trouble, true
+		if trouble != "" {
+			f.log = append(f.log, "rules: "+trouble)
+		}
+	}
+	lease := at + g.Lease
+	if f.flaws.Has(FromReceipt) {
+		lease = now + g.Lease
+	}
+	if f.flaws.Has(NoLease) && g.Lease > 0 {
+		lease = 1 << 62
+	}
+	if g.Lease == 0 || now >= lease || len(held) == 0 {
+		f.term = g.Term
+		if f.state == Lapsed || f.state == Ended {
+			f.move(Returning, "the keepers are heard again")
+		}
+		return
+	}
+	f.taken, f.term, f.inForce, f.newest = g.Seq, g.Term, g.InForce, g.Announced
+	f.lease = max(f.lease, lease)
+	if !slices.Equal(held, f.held) || f.state != Acting && f.state != Prepared {
+		f.held, f.opened = held, opened
+		f.again = true // whoever waits for this hears of it at once
+		f.settle()
+	}
+	f.floor = at + f.floorFor()
+	switch {
+	case !acts: // what was only announced is not acted on, but it is acknowledged
+		f.effect, f.name = nil, "none"
+		f.move(Following, "what is in force is not here")
+	case len(held) == 2:
+		f.move(Prepared, "a version is announced")
+	default:
+		f.move(Acting, "under a lease")
+	}
+}
+
+// gather finds the versions that a grant names: the one in force, and the announced one beside it where it can be read. acts
+// tells whether the one in force is among them: if not, nothing is acted on.
+func (f *Follower) gather(g *Grant) (held []*rules.Version, opened []*rules.Rules, acts bool, trouble string) {
+	for i, n := range []uint64{g.InForce, g.Announced} {
+		if n == 0 || i == 1 && n == g.InForce {
+			continue
+		}
+		for _, v := range slices.Concat(f.held, g.Versions) {
+			if v.Number != n {
+				continue
+			}
+			if r, err := v.Open(); err != nil {
+				trouble = "version " + v.Name() + " is not acted on: " + err.Error()
+			} else {
+				held, opened, acts = append(held, v), append(opened, r), acts || i == 0
+			}
+			break
+		}
+	}
+	return held, opened, acts, trouble
+}
+
+// settle works out what is acted on under a lease.
+func (f *Follower) settle() {
+	var list []string
+	for _, v := range f.held {
+		list = append(list, v.Name())
+	}
+	f.name = strings.Join(list, "&")
+	f.effect = f.opened[0]
+	if len(f.opened) == 2 && !f.flaws.Has(NoMeet) {
+		f.effect = rules.Meet(f.opened[0], f.opened[1])
+	}
+}
+
+// floorFor is how long the floor of what is held counts.
+func (f *Follower) floorFor() Time {
+	least := Time(0)
+	for i, r := range f.opened {
+		if i == 0 || r.Floor.For < least {
+			least = r.Floor.For
+		}
+	}
+	return least
+}
+
+// At is what the gateway acts on at a time; nil: on nothing. Whoever sends has read the clock once, and sends by this.
+func (f *Follower) At(now Time) *rules.Rules {
+	if (f.state == Acting || f.state == Prepared) && now >= f.lease {
+		floor := f.opened[0].Lapsed()
+		if len(f.opened) == 2 {
+			floor = rules.Meet(floor, f.opened[1].Lapsed())
+		}
+		f.effect, f.name = floor, "floor of "+f.name
+		f.move(Lapsed, "no word from the keepers for a lease")
+	}
+	if f.state == Lapsed || f.state == Returning {
+		if now >= f.floor && f.effect != nil {
+			f.effect, f.name = nil, "none"
+			f.move(Ended, "no word from the keepers for the floor's time")
+		}
+	}
+	return f.effect
+}
+
+// State is how the gateway stands.
+func (f *Follower) State() State { return f.state }
+
+// Name names what is acted on: a version, two with & between, or a floor.
+func (f *Follower) Name() string { return f.name }
+
+// Holds are the numbers of the versions that count, with whether only their floor does.
+func (f *Follower) Holds() (list []uint64, floor bool) {
+	for _, v := range f.held {
+		list = append(list, v.Number)
+	}
+	return list, f.state == Lapsed || f.state == Returning && f.effect != nil
+}
+
+// Until is when what is acted on changes at the latest if nothing is heard; 0: it does not.
+func (f *Follower) Until() Time {
+	switch {
+	case f.state == Acting || f.state == Prepared:
+		return f.lease
+	case f.effect != nil:
+		return f.floor
+	}
+	return 0
+}
+
+// Log takes the lines to be logged.
+func (f *Follower) Log() []string {
+	l := f.log
+	f.log = nil
+	return l
+}
--- /dev/null
+++ b/internal/fleet/accord/warden.go
@@ -0,0 +1,231 @@
+package accord
+
+import (
+	"fmt"
+	"slices"
+
+	"irispost/internal/fleet/rules"
+)
+
+// Ask is what a gateway asks a keeper for: to go on acting.
+type Ask struct {
+	Who     string   `json:"who"` // its name and its start: one that starts anew is another
+	Seq     uint64   `json:"seq"`
+	Term    uint64   `json:"term"`  // of the grant that it took last
+	Taken   uint64   `json:"taken"` // the ask that this grant answered
+	Holds   []uint64 `json:"holds"` // the versions that it acts on: on the meet, where there are two
+	Trouble string   `json:"trouble,omitempty"`
+	State   string   `json:"state"`
+}
+
+// Grant is the leading keeper's answer.
+type Grant struct {
+	Seq       uint64           `json:"seq"`
+	Term      uint64           `json:"term"`
+	InForce   uint64           `json:"in_force"`
+	Announced uint64           `json:"announced"`
+	Lease     Time             `json:"lease"` // from when it was asked for; 0: none yet, ask again
+	Versions  []*rules.Version `json:"versions,omitempty"`
+}
+
+// holder is a gateway that may act on something, as the leading keeper knows it.
+type holder struct {
+	name    string
+	seq     uint64
+	holds   []uint64 // as it said last
+	granted []granted
+	lease   Time // it acts on no version after this
+	floor   Time // nor on the floor of one after this
+	unknown Time // until then it may act on the floor of any version: nothing was heard from it in this term
+	heard   Time
+	state   string
+	trouble string
+}
+
+// granted is a grant that a holder may have taken after it last said what it holds.
+type granted struct{ seq, inForce uint64 }
+
+// Warden is the leading keeper's knowledge of the gateways. It is made anew with each term.
+type Warden struct {
+	ledger  *Ledger
+	term    uint64
+	holders map[string]*holder
+	joining map[string]bool
+	forcing uint64 // asked for in this term
+	forced  Time   // and when
+	parting map[string]Time
+	flaws   Flaws
+}
+
+// Lead makes a warden for a term. Whoever the log knows may have got a lease a moment ago.
+func Lead(now Time, term uint64, l *Ledger, flaws Flaws) *Warden {
+	w := &Warden{ledger: l, term: term, holders: map[string]*holder{}, joining: map[string]bool{}, parting: map[string]Time{}, flaws: flaws}
+	for _, name := range names(l.Holders) {
+		h := &holder{name: name, lease: now + l.Terms.longer(l.Terms.Lease), unknown: now + l.Terms.longer(l.longest()), heard: now,
+			state: "unheard"}
+		if flaws.Has(FreshLeader) {
+			h.lease, h.unknown = now, now
+		}
+		w.holders[name] = h
+	}
+	return w
+}
+
+// Renew answers a gateway. It is called once it is confirmed that this keeper still led after the ask had come in, with a
+// ledger that is as new as the log was then.
+func (w *Warden) Renew(now Time, a *Ask) *Grant {
+	g := &Grant{Seq: a.Seq, Term: w.term, InForce: w.ledger.InForce, Announced: w.ledger.Announced}
+	h := w.holders[a.Who]
+	_, parting := w.parting[a.Who]
+	if (!w.ledger.Holders[a.Who] || parting) && !w.flaws.Has(NoJoin) {
+		w.joining[a.Who] = true // a lease that the log does not know would be forgotten with this term
+		return g
+	}
+	if n := w.ledger.Announced; n != w.ledger.InForce && w.forcing == n && !slices.Contains(a.Holds, n) {
+		return g // it is decided, with what was known then: nobody may begin to act on the one before
+	}
+	if h == nil {
+		h = &holder{name: a.Who}
+		w.holders[a.Who] = h
+	}
+	if a.Term == w.term && a.Seq > h.seq || w.flaws.Has(NoEcho) { // it was sent in this term, and after all that was heard before
+		h.seq, h.holds, h.unknown = a.Seq, slices.Clone(a.Holds), 0
+		h.granted = slices.DeleteFunc(h.granted, func(g granted) bool { return g.seq <= a.Taken })
+	}
+	h.granted = append(h.granted, granted{a.Seq, g.InForce})
+	h.heard, h.state, h.trouble = now, a.State, a.Trouble
+	t := w.ledger.Terms
+	h.lease = max(h.lease, now+t.longer(t.Lease))
+	if w.flaws.Has(NoDrift) {
+		h.lease = now + t.Lease
+	}
+	h.floor = max(h.floor, now+t.longer(w.floorOf(h.holds)), now+t.longer(w.floorOf([]uint64{g.InForce, g.Announced})))
+	g.Lease = t.Lease
+	for _, n := range []uint64{g.InForce, g.Announced} {
+		if v := w.ledger.Version(n); v != nil && !slices.Contains(a.Holds, n) && !slices.Contains(g.Versions, v) {
+			g.Versions = append(g.Versions, v)
+		}
+	}
+	return g
+}
+
+// floorOf is the longest floor of versions.
+func (w *Warden) floorOf(numbers []uint64) (most Time) {
+	for _, n := range numbers {
+		if v := w.ledger.Version(n); v != nil {
+			if r, err := v.Open(); err == nil {
+				most = max(most, r.Floor.For)
+			}
+		}
+	}
+	return most
+}
+
+// Decide tells which command is to be put into the log now; nil: none.
+func (w *Warden) Decide(now Time) *Command {
+	if len(w.joining) > 0 {
+		c := &Command{Join: names(w.joining)}
+		clear(w.joining)
+		return c
+	}
+	again := w.ledger.Terms.Lease // a command that did not get into the log is asked for again after so long
+	if n := w.ledger.Announced; n != w.ledger.InForce && (w.forcing != n || now > w.forced+again) && len(w.Waits(now)) == 0 {
+		w.forcing, w.forced = n, now
+		return &Command{Force: n}
+	}
+	var gone []string
+	for _, name := range names(w.ledger.Holders) {
+		h := w.holders[name]
+		if at, asked := w.parting[name]; h != nil && now > max(h.lease, h.floor, h.unknown) && (!asked || now > at+again) {
+			gone = append(gone, name)
+			w.parting[name] = now
+		}
+	}
+	if len(gone) > 0 {
+		return &Command{Part: gone}
+	}
+	return nil
+}
+
+// Applied tells that commands of the log were applied: who has joined may be given a lease.
+func (w *Warden) Applied(c *Command) {
+	for _, name := range c.Part {
+		delete(w.holders, name)
+		delete(w.parting, name)
+	}
+}
+
+// Waits names the gateways that an announced version waits for, each with what for.
+func (w *Warden) Waits(now Time) (list []string) {
+	if w.flaws.Has(NoWait) {
+		return nil
+	}
+	n := w.ledger.Announced
+	next, _ := w.open(n)
+	for _, name := range names(w.ledger.Holders) {
+		h := w.holders[name]
+		if h == nil { // it has joined, and was told nothing yet
+			continue
+		}
+		switch {
+		case slices.Contains(h.holds, n):
+		case now <= h.lease:
+			list = append(list, fmt.Sprintf("%s: has not acknowledged it, and its lease runs on for %d ms; %s", name, (h.lease-now)/1e6+1, h.trouble))
+		case w.flaws.Has(NoFloor):
+		case now <= h.unknown:
+			list = append(list, fmt.Sprintf("%s: was not heard in this term, and may act on a floor for %d ms", name, (h.unknown-now)/1e6+1))
+		case now <= h.floor && !w.floorFits(h, next):
+			list = append(list, fmt.Sprintf("%s: may act on a floor that contradicts it for %d ms", name, (h.floor-now)/1e6+1))
+		}
+	}
+	return list
+}
+
+func (w *Warden) open(n uint64) (*rules.Rules, error) {
+	if v := w.ledger.Version(n); v != nil {
+		return v.Open()
+	}
+	return nil, nil
+}
+
+// floorFits tells whether the floor that a gateway may act on is within rules. It acts on the floors of all that it holds,
+// so one of them within is enough; what it holds is what it said last, or what it took of the grants since.
+func (w *Warden) floorFits(h *holder, next *rules.Rules) bool {
+	if next == nil {
+		return false
+	}
+	fits := func(n uint64) bool {
+		r, err := w.open(n)
+		return err == nil && (r == nil || len(rules.Beyond(r.Lapsed(), next)) == 0)
+	}
+	for _, g := range h.granted {
+		if !fits(g.inForce) { // it may be without the announced one, where it cannot read that
+			return false
+		}
+	}
+	return len(h.holds) == 0 || slices.ContainsFunc(h.holds, fits)
+}
+
+// Seen is a gateway as the leading keeper knows it.
+type Seen struct {
+	Who     string   `json:"who"`
+	State   string   `json:"state"`
+	Holds   []uint64 `json:"holds"`
+	Heard   Time     `json:"heard_ms_ago"`
+	Lease   Time     `json:"lease_ms"` // left of it, as the keeper counts; below 0: run out
+	Hangs   bool     `json:"hangs"`    // no word for half of its lease
+	Trouble string   `json:"trouble,omitempty"`
+}
+
+// Look lists the gateways, by name.
+func (w *Warden) Look(now Time) (list []Seen) {
+	for _, name := range names(w.ledger.Holders) {
+		h := w.holders[name]
+		if h == nil {
+			continue
+		}
+		list = append(list, Seen{Who: name, State: h.state, Holds: h.holds, Heard: (now - h.heard) / 1e6, Lease: (h.lease - now) / 1e6,
+			Hangs: now-h.heard > w.ledger.Terms.Lease/2, Trouble: h.trouble})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/fleet/accord/world_test.go
@@ -0,0 +1,557 @@
+package accord
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"irispost/internal/fleet/rules"
+	"irispost/internal/listing"
+)
+
+// The world of these tests: keepers around one log, of which one leads and others may still believe that they do; gateways;
+// a network that delays, loses and reorders; clocks that drift within the stated part. All chance comes from the run's seed.
+
+// Flaws of the world itself, beside those of the code.
+const (
+	noConfirm Flaws = 1 << (iota + 12) // a keeper answers without having made sure that it still leads
+	wallClock                          // gateways read a clock that is set back at times
+	lostLog                            // a new leader lacks what an older one had acknowledged
+)
+
+const lease = Time(1e9)
+
+var testTerms = Terms{Lease: lease, Drift: 0.1}
+
+// pool is rules that agree and contradict in different ways.
+var pool = func() (list [][]byte) {
+	for n := range 24 {
+		r := &rules.Rules{Needs: 1, Shards: 2, Mean: 1, Plans: map[string]rules.Plan{"gold": {Weight: 1, Limit: float64(1 + n%3)}},
+			Products: map[string]rules.Product{"read": {Kind: rules.Anywhere, Goal: 1, Patience: 2}},
+			Nodes:    map[string]rules.Node{"a": {}, "b": {Shard: 1}, "c": {Standing: listing.Draining}}, Sending: rules.Sending{Most: 3},
+			Floor: rules.Floor{For: Time(n%4) * 2 * lease, Limits: []float64{0.3, 1}[n%2]}}
+		switch n % 5 {
+		case 1:
+			r.Nodes["a"], r.Nodes["c"] = rules.Node{Standing: listing.Draining}, rules.Node{}
+		case 2:
+			delete(r.Nodes, "b")
+		case 3:
+			r.Products["read"] = rules.Product{Kind: rules.Once, Goal: 1, Patience: 2}
+		}
+		list = append(list, r.Canonical())
+	}
+	return append(list, []byte(`{"needs": 9}`))
+}()
+
+// bare is the same without floors.
+var bare = func() (list [][]byte) {
+	for _, b := range pool[:24] {
+		r, _ := rules.Read(b)
+		r.Floor.For = 0
+		list = append(list, r.Canonical())
+	}
+	return list
+}()
+
+type mail struct {
+	at   Time
+	seq  int
+	what func()
+}
+
+type mails []mail
+
+func (m mails) Len() int { return len(m) }
+func (m mails) Less(a, b int) bool {
+	return m[a].at < m[b].at || m[a].at == m[b].at && m[a].seq < m[b].seq
+}
+func (m mails) Swap(a, b int) { m[a], m[b] = m[b], m[a] }
+func (m *mails) Push(x any)   { *m = append(*m, x.(mail)) }
+func (m *mails) Pop() any {
+	last := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return last
+}
+
+type clock struct {
+	rate float64
+	off  Time
+}
+
+func (c clock) at(now Time) Time { return c.off + Time(float64(now)*c.rate) }
+
+type keeper struct {
+	clock
+	ledger  *Ledger
+	applied int
+	warden  *Warden // nil: it does not believe that it leads
+	term    uint64
+	out     []*Command // on their way into the log
+}
+
+type host struct {
+	clock
+	f       *Follower
+	stopped bool
+	cut     bool    // its messages are lost
+	only    *keeper // the one that it reaches; nil: all
+}
+
+type world struct {
+	rand    *rand.Rand
+	flaws   Flaws
+	mood    mood
+	now     Time
+	count   int
+	mail    mails
+	log     []*Command
+	truth   *Ledger
+	acked   []*rules.Version // proposals that were answered
+	keepers []*keeper
+	leader  *keeper
+	term    uint64
+	hosts   []*host
+	starts  int
+	calm    bool // nothing is lost or slow any more
+	fits    map[fit]bool
+	broken  string
+	steps   int
+}
+
+// mood is what a run has much or little of, so that rare things come together in some runs.
+type mood struct {
+	loss, slow     float64 // parts of the messages
+	slowest        Time
+	elections      float64 // a step
+	cuts, restarts float64
+	firm           float64 // part of those that led who go on believing it
+	floors         bool
+	extremes       bool // clocks drift as far as is stated
+	pace           Time
+}
+
+func (w *world) chance(part float64) bool { return w.rand.Float64() < part }
+
+func (w *world) draw(list ...float64) float64 { return list[w.rand.IntN(len(list))] }
+
+type fit struct {
+	effect  *rules.Rules
+	inForce uint64
+}
+
+func newWorld(seed uint64, flaws Flaws) *world {
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), flaws: flaws, truth: NewLedger(), fits: map[fit]bool{}}
+	w.mood = mood{loss: w.draw(0, 0.1, 0.4), slow: w.draw(0, 0.1, 0.5), slowest: Time(w.draw(0.1, 0.5, 2, 6) * float64(lease)),
+		elections: w.draw(0.002, 0.02, 0.05), cuts: w.draw(0, 0.02, 0.08), restarts: w.draw(0, 0.01, 0.03), firm: w.draw(0.2, 0.9),
+		floors: w.chance(0.5), extremes: w.chance(0.5), pace: Time(w.draw(0.05, 0.1, 0.3) * float64(lease))}
+	for range 3 {
+		w.keepers = append(w.keepers, &keeper{clock: w.clock(), ledger: NewLedger()})
+	}
+	for range 2 + w.rand.IntN(3) {
+		h := &host{clock: w.clock()}
+		w.hosts = append(w.hosts, h)
+		w.start(h)
+	}
+	w.log = append(w.log, &Command{Found: &testTerms})
+	w.truth.Apply(w.log[0])
+	w.elect()
+	return w
+}
+
+func (w *world) clock() clock {
+	drift := 2*w.rand.Float64() - 1
+	if w.mood.extremes {
+		drift = w.draw(-1, 1)
+	}
+	return clock{rate: 1 + testTerms.Drift*drift, off: w.rand.Int64N(int64(lease) * 100)}
+}
+
+func (w *world) start(h *host) {
+	w.starts++
+	h.f = Follow("g"+strconv.Itoa(w.starts), lease/4, w.flaws)
+}
+
+func (w *world) post(after Time, what func()) {
+	w.count++
+	heap.Push(&w.mail, mail{w.now + after, w.count, what})
+}
+
+// delay is how long a message takes; below 0: it is lost.
+func (w *world) delay() Time {
+	if w.calm {
+		return lease / 1000
+	}
+	switch {
+	case w.chance(w.mood.loss):
+		return -1
+	case w.chance(w.mood.slow):
+		return w.rand.Int64N(w.mood.slowest)
+	}
+	return w.rand.Int64N(lease / 20)
+}
+
+// commit puts commands into the log.
+func (w *world) commit(k *keeper, c *Command) {
+	i := slices.Index(k.out, c)
+	if i < 0 || k != w.leader {
+		return
+	}
+	k.out = slices.Delete(k.out, i, i+1)
+	w.log = append(w.log, c)
+	if v, err := w.truth.Apply(c); err == nil && v != nil {
+		w.acked = append(w.acked, v)
+	}
+}
+
+func (w *world) apply(k *keeper, to int) {
+	for ; k.applied < min(to, len(w.log)); k.applied++ {
+		k.ledger.Apply(w.log[k.applied])
+		if k.warden != nil {
+			k.warden.Applied(w.log[k.applied])
+		}
+	}
+}
+
+// elect has another keeper lead. The one before may not know.
+func (w *world) elect() {
+	if old := w.leader; old != nil {
+		for _, c := range slices.Clone(old.out) {
+			if w.rand.IntN(2) == 0 {
+				w.commit(old, c)
+			}
+		}
+		old.out = nil
+		if !w.chance(w.mood.firm) {
+			old.warden = nil
+		} else {
+			for _, h := range w.hosts { // some are on its side of the cut
+				if w.rand.IntN(3) == 0 {
+					h.only = old
+				}
+			}
+		}
+	}
+	if w.flaws.Has(lostLog) && len(w.log) > 1 && w.rand.IntN(4) == 0 {
+		w.log = w.log[:len(w.log)-1]
+		w.truth = NewLedger()
+		for _, c := range w.log {
+			w.truth.Apply(c)
+		}
+		for _, k := range w.keepers {
+			k.ledger, k.applied, k.warden = NewLedger(), 0, nil
+		}
+	}
+	w.term++
+	k := w.keepers[w.rand.IntN(len(w.keepers))]
+	w.leader = k
+	k.warden, k.term = nil, w.term
+	w.apply(k, len(w.log))
+	k.warden = Lead(k.at(w.now), w.term, k.ledger, w.flaws)
+}
+
+// decide has a keeper that believes that it leads do what is due.
+func (w *world) decide(k *keeper) {
+	if k.warden == nil {
+		return
+	}
+	if k == w.leader {
+		w.apply(k, len(w.log))
+	}
+	if c := k.warden.Decide(k.at(w.now)); c != nil && k == w.leader {
+		k.out = append(k.out, c)
+		w.post(max(w.delay(), 0)/4, func() { w.commit(k, c) })
+	}
+}
+
+func (w *world) propose() {
+	k := w.leader
+	p := &Proposal{ID: strconv.Itoa(w.count), Parent: k.ledger.Announced, Over: w.rand.IntN(2) == 0, Rules: pool[w.rand.IntN(len(pool))]}
+	if !w.mood.floors && len(p.Rules) > 20 {
+		p.Rules = bare[w.rand.IntN(len(bare))]
+	}
+	w.count++
+	c := &Command{Propose: p}
+	k.out = append(k.out, c)
+	w.post(max(w.delay(), 0)/4, func() { w.commit(k, c) })
+}
+
+// ask has a gateway ask a keeper that believes that it leads.
+func (w *world) ask(h *host) {
+	if h.stopped {
+		return
+	}
+	k := w.leader
+	if other := w.keepers[w.rand.IntN(len(w.keepers))]; other.warden != nil {
+		k = other
+	}
+	if h.only != nil && h.only.warden != nil {
+		k = h.only
+	}
+	f, a := h.f, h.f.Ask(h.at(w.now))
+	d := w.delay()
+	if d < 0 || h.cut {
+		return
+	}
+	w.post(d, func() {
+		term, first := k.term, w.delay()
+		w.post(max(first, 0)/4, func() {
+			sure, upTo := k == w.leader && k.term == term, len(w.log)
+			w.post(max(w.delay(), 0)/4, func() {
+				if k.warden == nil || k.term != term || !sure && !w.flaws.Has(noConfirm) {
+					return
+				}
+				if sure {
+					w.apply(k, upTo)
+				}
+				g := k.warden.Renew(k.at(w.now), a)
+				if back := w.delay(); back >= 0 {
+					w.post(back, func() { w.hear(h, f, g) })
+				}
+			})
+		})
+	})
+}
+
+func (w *world) hear(h *host, f *Follower, g *Grant) {
+	switch {
+	case h.f != f: // that start of it is over
+	case h.stopped:
+		w.post(lease/10, func() { w.hear(h, f, g) })
+	default:
+		f.Heard(h.at(w.now), g)
+	}
+}
+
+// step does one thing.
+func (w *world) step() {
+	w.steps++
+	h := w.hosts[w.rand.IntN(len(w.hosts))]
+	m := &w.mood
+	switch {
+	case w.calm:
+		w.pass()
+	case w.chance(m.elections):
+		w.elect()
+	case w.chance(m.cuts):
+		switch w.rand.IntN(4) {
+		case 0:
+			h.stopped = !h.stopped
+		case 1:
+			h.only = w.keepers[w.rand.IntN(len(w.keepers))]
+		default:
+			h.cut = !h.cut
+		}
+	case w.chance(m.restarts):
+		w.start(h)
+		h.stopped = false
+	case w.flaws.Has(wallClock) && w.chance(0.05):
+		h.off -= w.rand.Int64N(4 * lease)
+	case w.chance(0.08):
+		w.propose()
+	case w.chance(0.05):
+		w.ask(h)
+	case w.chance(0.05 * (1 - m.firm)):
+		for _, k := range w.keepers {
+			if k != w.leader {
+				k.warden = nil
+			}
+		}
+	default:
+		w.pass()
+	}
+	for _, k := range w.keepers {
+		w.decide(k)
+	}
+	for _, h := range w.hosts {
+		if !h.stopped && h.f.Due(h.at(w.now)) <= h.at(w.now) {
+			w.ask(h)
+		}
+	}
+	w.check()
+}
+
+// pass lets time go by, up to the next message.
+func (w *world) pass() {
+	if len(w.mail) > 0 && (w.calm || w.chance(0.8)) && w.mail[0].at <= w.now+w.mood.pace {
+		m := heap.Pop(&w.mail).(mail)
+		w.now = max(w.now, m.at)
+		m.what()
+		return
+	}
+	w.now += w.rand.Int64N(w.mood.pace)
+}
+
+// check holds each gateway's rules against those in force by the log.
+func (w *world) check() {
+	var inForce *rules.Rules
+	if v := w.truth.Version(w.truth.InForce); v != nil {
+		inForce, _ = v.Open()
+	}
+	for i, h := range w.hosts {
+		if h.stopped {
+			continue
+		}
+		effect := h.f.At(h.at(w.now))
+		if effect == nil {
+			continue
+		}
+		key := fit{effect, w.truth.InForce}
+		if w.fits[key] {
+			continue
+		}
+		if inForce == nil {
+			w.broken = fmt.Sprintf("gateway %d acts on %s, and nothing is in force", i, h.f.Name())
+			return
+		}
+		if list := rules.Beyond(effect, inForce); len(list) > 0 {
+			w.broken = fmt.Sprintf("at step %d gateway %d acts on %s, in force is %d: %v", w.steps, i, h.f.Name(), w.truth.InForce, list)
+			return
+		}
+		w.fits[key] = true
+	}
+	for _, v := range w.acked {
+		if o := w.truth.Version(v.Number); o == nil || o.Digest != v.Digest {
+			w.broken = fmt.Sprintf("version %s was acknowledged and is lost", v.Name())
+		}
+	}
+}
+
+// run plays a run of so many steps, then heals all and sees that the newest version comes into force within the stated time.
+func run(seed uint64, flaws Flaws, steps int) (w *world) {
+	w = newWorld(seed, flaws)
+	for w.steps < steps && w.broken == "" {
+		w.step()
+	}
+	if w.broken != "" || flaws != 0 || seed%8 != 0 { // healing takes most of the time
+		return w
+	}
+	w.calm = true
+	for _, h := range w.hosts {
+		h.stopped, h.cut, h.only = false, false, nil
+	}
+	for _, k := range w.keepers {
+		if k != w.leader {
+			k.warden = nil
+		}
+	}
+	w.apply(w.leader, len(w.log))
+	c := &Command{Propose: &Proposal{ID: "last", Parent: w.truth.Announced, Over: true, Rules: pool[0]}}
+	w.leader.out = append(w.leader.out, c)
+	w.commit(w.leader, c)
+	last, began := w.truth.Announced, w.now
+	floors := testTerms.longer(testTerms.longer(w.truth.longest()))
+	stated := testTerms.longer(testTerms.longer(lease)) + 10*lease // and the messages that were under way before
+	for w.truth.InForce < last && w.broken == "" && w.now < began+stated+floors {
+		w.step()
+	}
+	if w.broken == "" && w.truth.InForce != last {
+		w.broken = fmt.Sprintf("version %d is not in force %d ms after all has healed: %v", last, (w.now-began)/1e6,
+			w.leader.warden.Waits(w.leader.at(w.now)))
+	}
+	return w
+}
+
+// runs plays many and returns the first seed that breaks, with what; 0: none.
+func runs(from, count uint64, flaws Flaws, steps int) (seed uint64, why string, total int64) {
+	var next, all atomic.Int64
+	var lock sync.Mutex
+	var done sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			for {
+				n := uint64(next.Add(1)) + from
+				lock.Lock()
+				over := n > from+count || seed > 0 && n > seed
+				lock.Unlock()
+				if over {
+					return
+				}
+				w := run(n, flaws, steps)
+				all.Add(int64(w.steps))
+				if w.broken != "" {
+					lock.Lock()
+					if seed == 0 || n < seed {
+						seed, why = n, w.broken
+					}
+					lock.Unlock()
+				}
+			}
+		}()
+	}
+	done.Wait()
+	return seed, why, all.Load()
+}
+
+// IRISPOST_RUNS plays more runs than the tests do.
+func TestNoContradiction(t *testing.T) {
+	count := uint64(2000)
+	if s := os.Getenv("IRISPOST_RUNS"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		count = n
+	}
+	seed, why, steps := runs(0, count, 0, 200)
+	if seed > 0 {
+		t.Fatalf("seed %d: %s", seed, why)
+	}
+	t.Logf("%d runs, %d steps", count, steps)
+}
+
+// Each defect has to be found, or nothing would be shown by finding none.
+func TestDefectsAreFound(t *testing.T) {
+	for name, flaw := range map[string]Flaws{ // that an ask is from before the term has a test of its own
+		"lease from receipt": FromReceipt, "no wait": NoWait, "no meet": NoMeet, "a new leader knows nobody": FreshLeader,
+		"floors not waited for": NoFloor, "no drift": NoDrift, "grants in any order": TakesOld, "leases beside the log": NoJoin,
+		"no leases": NoLease, "no confirmation": noConfirm, "wall clock": wallClock, "log lost": lostLog} {
+		seed, why, _ := runs(0, 20000, flaw, 200)
+		if seed == 0 {
+			t.Errorf("%s: not found", name)
+			continue
+		}
+		t.Logf("%-28s run %5d: %s", name, seed, why)
+	}
+}
+
+// An ask that was long under way tells a new leader of what the gateway held once. Were it taken for news, a version could come
+// into force that contradicts the floor that the gateway is on since.
+func TestAskFromBeforeTheTerm(t *testing.T) {
+	at := func(owner string) []byte {
+		r, _ := rules.Read(pool[0])
+		r.Floor = rules.Floor{For: 100 * lease, Limits: 1}
+		r.Nodes = map[string]rules.Node{owner: {}, "z": {Shard: 1}}
+		return r.Canonical()
+	}
+	for _, flaw := range []Flaws{0, NoEcho} {
+		l := NewLedger()
+		l.Apply(&Command{Found: &testTerms})
+		l.Apply(&Command{Join: []string{"g"}})
+		force := func(id string, rules []byte) {
+			v, err := l.Apply(&Command{Propose: &Proposal{ID: id, Parent: l.Announced, Rules: rules}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Apply(&Command{Force: v.Number})
+		}
+		force("one", at("a"))
+		force("two", at("b"))
+		force("three", at("a"))
+		w := Lead(0, 7, l, flaw)
+		w.Renew(0, &Ask{Who: "g", Seq: 3, Term: 2, Holds: []uint64{1}}) // by now it is on the floor of the second
+		l.Apply(&Command{Propose: &Proposal{ID: "four", Parent: 3, Rules: at("a")}})
+		c := w.Decide(10 * lease)
+		if forced := c != nil && c.Force == 4; forced != (flaw == NoEcho) {
+			t.Errorf("flaws %b: %+v, %v", flaw, c, w.Waits(10*lease))
+		}
+	}
+}
