--- a/cmd/irispost/run.go
+++ b/cmd/irispost/run.go
@@ -107,7 +107,15 @@
 		}
 		return err
 	}
-	if ok, _ := filepath.Match("day*.hcl", base); ok {
+	if ok, _ := filepath.Match("rules*.hcl", base); ok {
+		src, err := os.ReadFile(file)
+		if err == nil {
+			_, err = config.Rules(file, src)
+		}
+		return err
+	}
+	scripted, _ := filepath.Match("day*.hcl", base)
+	if fleet, _ := filepath.Match("fleet-agree-*.hcl", base); fleet || scripted {
 		_, err := day.Load(file)
 		return err
 	}
@@ -287,6 +295,10 @@
 	fmt.Fprintf(w, "jobs\t%d\tcompleted %d, dismissed %d, written off %d, left %d, lost %d, answered twice %d, torn reads %d\n",
 		r.Jobs, r.Completed, r.Dismissed, r.WrittenOff, r.Left, r.Lost, r.Twice, r.TornReads)
 	fmt.Fprintf(w, "service\t%.3f\tof %d requests, with their further tries folded into the first\n", r.Service, r.Requests)
+	if a := r.Agreement; a != nil {
+		fmt.Fprintf(w, "agreement\t%d\tpairs of gateways over %d versions, longest contradiction %.1f ms of %.0f stated, broken %d %s\n", a.Pairs, a.Versions, a.Worst,
+			a.Stated, a.Broken, a.First)
+	}
 	fmt.Fprintf(w, "\nproduct\tjobs\tin goal\tp50 ms\tp99 ms\n")
 	for _, p := range r.Products {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\t%.1f\n", p.Name, p.Jobs, p.InGoal, p.P50, p.P99)
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -25,6 +25,8 @@
 	Fell                 // a node was pushed over
 	Listed               // a list that names a node so was handed out
 	Killed               // a gateway was killed
+	Stood                // a gateway was stopped (SIGSTOP)
+	WentOn               // and goes on
 )
 
 // Answer is the kind of a final answer.
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -39,6 +39,7 @@
 	lock   sync.Mutex
 	f      *accord.Follower
 	told   string // what the loop was told last
+	until  int64  // and until when it counts
 	first  chan struct{}
 	news   chan struct{}
 	record *os.File
@@ -145,12 +146,12 @@
 // changed, nil where not, and when to ask again at the latest, 0 for no need.
 func (f *Following) At(now int64) (*listing.List, int64) {
 	f.lock.Lock()
-	ends := f.f.Until()
+	ends := f.until
 	effect := f.f.At(now)
 	name, until, lines := f.f.Name(), f.f.Until(), f.f.Log()
 	holds, floor := f.f.Holds()
 	changed := name != f.told
-	f.told = name
+	f.told, f.until = name, until
 	f.lock.Unlock()
 	if len(lines) > 0 {
 		f.say(lines)
--- /dev/null
+++ b/internal/fleet/rig/agree_test.go
@@ -0,0 +1,50 @@
+package rig
+
+import (
+	"strings"
+	"testing"
+
+	"irispost/internal/fleet/rules"
+	"irispost/internal/listing"
+)
+
+// The audit's own checks, on records made by hand: what it has to find, and what only looks like it.
+func TestAgree(t *testing.T) {
+	version := func(n uint64, owner string, floor int64) *rules.Version {
+		r := &rules.Rules{Needs: 1, Shards: 1, Mean: 1, Plans: map[string]rules.Plan{"p": {Weight: 1}}, Products: map[string]rules.Product{},
+			Sending: rules.Sending{Most: 1}, Nodes: map[string]rules.Node{"a": {Standing: listing.Draining}, "b": {Standing: listing.Draining}},
+			Floor: rules.Floor{For: floor, Limits: 1}}
+		r.Nodes[owner] = rules.Node{}
+		return &rules.Version{Number: n, Digest: r.Digest(), Rules: r.Canonical()}
+	}
+	versions := []*rules.Version{version(1, "a", 50), version(2, "b", 50), version(3, "b", 0)}
+	for _, c := range []struct {
+		name, one, other string
+		worst            float64
+		broken           int
+	}{
+		{"the same", "0 false [1]", "0 false [1]", 0, 0},
+		{"one on the old, one on the new", "0 false [1]", "0 false [1]\n20000000 false [2]", 80, 1},
+		{"for a moment", "0 false [1]\n25000000 false [2]", "0 false [1]\n20000000 false [2]", 5, 0},
+		{"one prepared", "0 false [1]", "0 false [1]\n20000000 false [1 2]", 0, 0},
+		{"both prepared differently, and one settled", "0 false [1 2]", "0 false [1]\n20000000 false [2]", 0, 0},
+		{"versions that say the same", "0 false [2]", "0 false [3]", 0, 0},
+		{"one on the floor of the old", "0 true [1]", "0 false [2]", 100, 1},
+		{"one on the floor of the same", "0 true [2]", "0 false [3]", 0, 0},
+		{"one on nothing", "0 false [1]\n20000000 false []", "0 false [1]\n20000000 false [2]", 0, 0},
+		{"two short times are not one long", "0 false [1]\n5000000 false []\n20000000 false [1]\n25000000 false []", "0 false [2]", 5, 0},
+	} {
+		records := map[string][]Acts{}
+		for name, text := range map[string]string{"one": c.one, "other": c.other} {
+			list, err := ReadActs(strings.NewReader(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			records[name] = list
+		}
+		a, err := Agree(records, versions, 10e6, 100e6)
+		if err != nil || a.Worst != c.worst || a.Broken != c.broken || a.Pairs != 1 {
+			t.Errorf("%s: %+v, %v", c.name, a, err)
+		}
+	}
+}
