--- a/cmd/irispost/fleet.go
+++ b/cmd/irispost/fleet.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"maps"
+	"net"
 	"os"
+	"os/exec"
 	"os/user"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +20,7 @@
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/keep"
 	"irispost/internal/fleet/rules"
+	"irispost/internal/listing"
 )
 
 func keeperCommand() *cobra.Command {
@@ -249,3 +253,85 @@
 	root.AddCommand(status)
 	return root
 }
+
+// demoKeepers starts keepers as processes, proposes the list as the first version and has a gateway follow. It returns what to try.
+func demoKeepers(count int, dir string, conf *config.Gateway, l listing.List) (text string, end func(), err error) {
+	if count != 1 && count != 3 && count != 5 {
+		return "", nil, fmt.Errorf("--keepers %d: one, three or five", count)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", nil, err
+	}
+	var addrs, args, pids []string
+	var held []net.Listener
+	for i := range count {
+		h, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", nil, err
+		}
+		held, addrs = append(held, h), append(addrs, h.Addr().String())
+		args = append(args, "--peer", fmt.Sprintf("%d=%s", i+1, h.Addr()))
+	}
+	var started []*exec.Cmd
+	end = func() {
+		for _, cmd := range started {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	}
+	for i := range count {
+		held[i].Close()
+		cmd := exec.Command(self, append([]string{"keeper", "--number", strconv.Itoa(i + 1), "--listen", addrs[i], "--dir", filepath.Join(dir, "keeper", strconv.Itoa(i+1))}, args...)...)
+		if err := cmd.Start(); err != nil {
+			end()
+			return "", nil, err
+		}
+		started, pids = append(started, cmd), append(pids, strconv.Itoa(cmd.Process.Pid))
+	}
+	r := &rules.Rules{Needs: rules.Form, Shards: conf.Shards, Mean: 1, Floor: rules.Floor{For: int64(time.Minute), Limits: 1, Writes: true}}
+	r.Agree(conf.Terms)
+	for _, n := range l.Nodes {
+		r.Nodes[n.Addr] = rules.Node{Shard: n.Shard}
+	}
+	client := &keep.Client{Keepers: addrs, Within: 20 * time.Second}
+	if _, err := client.Propose(&accord.Proposal{ID: "demo", Author: author(), Why: "the demo's first version", Time: time.Now().UTC().Format(time.RFC3339),
+		Rules: r.Canonical()}); err != nil {
+		end()
+		return "", nil, err
+	}
+	file := filepath.Join(dir, "rules.hcl")
+	if err := os.WriteFile(file, demoRules(r), 0o600); err != nil {
+		end()
+		return "", nil, err
+	}
+	conf.Sources, conf.Follow = nil, &config.Follow{Keepers: addrs, Pause: 400 * time.Millisecond}
+	return fmt.Sprintf(`
+The gateway follows %d keepers, processes %s. Try:
+    export IRISPOST_KEEPERS=%s
+    go run ./cmd/irispost fleet status
+    go run ./cmd/irispost rules propose --why "a lower limit" %s    # edit it first
+    go run ./cmd/irispost rules log
+    kill -9 %s && go run ./cmd/irispost fleet status
+`, count, strings.Join(pids, ", "), strings.Join(addrs, ","), file, pids[0]), end, nil
+}
+
+// demoRules writes rules as a file that can be changed and proposed.
+func demoRules(r *rules.Rules) []byte {
+	out := fmt.Appendf(nil, "shards = %d\n\nfloor {\n  for    = %q\n  writes = true\n}\n", r.Shards, time.Duration(r.Floor.For))
+	for _, name := range slices.Sorted(maps.Keys(r.Plans)) {
+		p := r.Plans[name]
+		out = fmt.Appendf(out, "\nplan %q {\n  weight  = %v\n  rate    = %v\n  reserve = %v\n  limit   = %v # units a second; 0: none\n  burst   = %v\n  slack   = %v\n}\n", name,
+			p.Weight, p.Rate, p.Reserve, p.Limit, p.Burst, p.Slack)
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Products)) {
+		p := r.Products[name]
+		kind, group, found := strings.Cut(string(p.Kind), " ")
+		if !found {
+			group = "all"
+		}
+		out = fmt.Appendf(out, "\nproduct %q {\n  kind     = %q\n  group    = %q\n  goal     = %q\n  patience = %q\n  window   = %q\n  in_turn  = %v\n}\n", name, kind, group,
+			time.Duration(p.Goal), time.Duration(p.Patience), time.Duration(p.Window), p.InTurn)
+	}
+	return append(append(out, '\n'), listing.Write(r.List(""))...)
+}
--- a/cmd/irispost/fleet_test.go
+++ b/cmd/irispost/fleet_test.go
@@ -1,8 +1,16 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +72,93 @@
 		t.Errorf("%+v", r.Agreement)
 	}
 }
+
+// sockets are a process's, from what the kernel says: how many listen, the addresses that the others go to, and how many are none
+// of TCP's.
+func sockets(t *testing.T, pid int) (listen int, to map[string]bool, others int) {
+	t.Helper()
+	table := map[string][]string{}
+	for _, name := range []string{"tcp", "tcp6"} {
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/%s", pid, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, line := range strings.Split(string(b), "\n") {
+			if f := strings.Fields(line); len(f) > 9 {
+				table["socket:["+f[9]+"]"] = f
+			}
+		}
+	}
+	to = map[string]bool{}
+	fds, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	for _, fd := range fds {
+		name, _ := os.Readlink(fd)
+		f := table[name]
+		switch {
+		case !strings.HasPrefix(name, "socket:"):
+		case f == nil:
+			others++
+		case f[3] == "0A":
+			listen++
+		default:
+			to[f[2][strings.IndexByte(f[2], ':')+1:]] = true
+		}
+	}
+	return listen, to, others
+}
+
+// The gateway on the platform has nothing of a fleet: one socket that listens, one way to its list, and no other, even where keepers
+// are named all around it.
+func TestWebOpensNothingOfAFleet(t *testing.T) {
+	asked := make(chan struct{}, 16)
+	quit := make(chan struct{})
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.FormValue("from") == "1" {
+			asked <- struct{}{}
+			<-quit
+		}
+		fmt.Fprint(w, `{"rev":1,"all":true,"targets":[]}`)
+	}))
+	defer list.Close()
+	defer close(quit)
+	trap, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer trap.Close()
+	file := filepath.Join(t.TempDir(), "proxy.json")
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"settings":{"discovery":"ask","contract":{"ask_every_ms":40000.0},"contracts":[{"name":"gold","proportion":1.0,"base_rate":1000.0,"floor_rate":1000.0}],
+		"domain":{"unit_mean":2.0,"largest":8},"lanes":[{"name":"read","effect":"read_like","target_ms":60000.0,"hard_limit_ms":120000.0}],
+		"permissions":{"attempts_cap":3,"second_copies":true,"cancelling":true,"retry_after":true,"max_retry_after_ms":1000.0,"dial_timeout_ms":5000.0,
+		"idle_close_ms":60000.0}}}`, list.Listener.Addr().String())), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, "web")
+	cmd.Env = append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+file, "IRISPOST_KEEPERS="+trap.Addr().String())
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(log)
+	for lines.Scan() && !strings.Contains(lines.Text(), "serves") {
+	}
+	<-asked // by now it watches its list
+	listen, to, others := sockets(t, cmd.Process.Pid)
+	_, port, _ := net.SplitHostPort(list.Listener.Addr().String())
+	var number int
+	fmt.Sscan(port, &number)
+	delete(to, fmt.Sprintf("%04X", number))
+	if listen != 1 || len(to) > 0 || others > 0 {
+		t.Errorf("%d sockets listen, others go to %v, and %d are none of TCP's", listen, to, others)
+	}
+}
--- a/cmd/irispost/run.go
+++ b/cmd/irispost/run.go
@@ -181,6 +181,7 @@
 func demoCommand() *cobra.Command {
 	c := &cobra.Command{Use: "demo", Short: "Run three stand-in nodes and a gateway on loopback until Ctrl-C", Args: cobra.NoArgs}
 	listen := c.Flags().String("listen", "127.0.0.1:2022", "address of the gateway")
+	count := c.Flags().Int("keepers", 0, "keepers that the gateway follows, as processes: 0, 1, 3 or 5")
 	log := logs(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		src, err := examples.Files.ReadFile("demo.hcl")
@@ -216,6 +217,14 @@
 		conf.Listen = *listen
 		ctx, cancel := untilSignal()
 		defer cancel()
+		more := ""
+		if *count > 0 {
+			var end func()
+			if more, end, err = demoKeepers(*count, dir, conf, l); err != nil {
+				return err
+			}
+			defer end()
+		}
 		g, err := serve.Start(conf, dir, log())
 		if err != nil {
 			return err
@@ -226,8 +235,8 @@
     go run ./cmd/irispost put --at %[2]s README.md /home/readme
     go run ./cmd/irispost ls --at %[2]s /home
     go run ./cmd/irispost get --at %[2]s /home/readme -
-Ctrl-C ends it; the files are in memory and go with it.
-`, conf.Name, g.Front.Addr(), conf.Shards)
+%[4]sCtrl-C ends it; the files are in memory and go with it.
+`, conf.Name, g.Front.Addr(), conf.Shards, more)
 		<-ctx.Done()
 		last, end := context.WithTimeout(context.Background(), conf.StopBy)
 		defer end()
--- a/internal/fleet/accord/follower.go
+++ b/internal/fleet/accord/follower.go
@@ -195,9 +195,10 @@
 // At is what the gateway acts on at a time; nil: on nothing. Whoever sends has read the clock once, and sends by this.
 func (f *Follower) At(now Time) *rules.Rules {
 	if (f.state == Acting || f.state == Prepared) && now >= f.lease {
-		floor := f.opened[0].Lapsed()
-		if len(f.opened) == 2 {
-			floor = rules.Meet(floor, f.opened[1].Lapsed())
+		floor, _ := f.held[0].Floor() // what is held could be read
+		if len(f.held) == 2 {
+			other, _ := f.held[1].Floor()
+			floor = rules.Meet(floor, other)
 		}
 		f.effect, f.name = floor, "floor of "+f.name
 		f.move(Lapsed, "no word from the keepers for a lease")
--- a/internal/fleet/accord/warden.go
+++ b/internal/fleet/accord/warden.go
@@ -195,8 +195,12 @@
 		return false
 	}
 	fits := func(n uint64) bool {
-		r, err := w.open(n)
-		return err == nil && (r == nil || len(rules.Beyond(r.Lapsed(), next)) == 0)
+		v := w.ledger.Version(n)
+		if v == nil {
+			return true
+		}
+		floor, err := v.Floor()
+		return err == nil && len(rules.Beyond(floor, next)) == 0
 	}
 	for _, g := range h.granted {
 		if !fits(g.inForce) { // it may be without the announced one, where it cannot read that
--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -54,6 +54,8 @@
 	asks      []*call                // that no confirmation has been asked for yet
 	sure      *batch                 // whose confirmation is out; nil: none
 	readings  uint64
+	gathered  time.Time // when the last batch began
+	gather    *time.Timer
 	calls     chan func()
 	peers     map[uint64]*peer
 	http      *http.Server
@@ -106,7 +108,7 @@
 		return nil, err
 	}
 	k := &Keeper{opt: opt, log: opt.Log.With("keeper", opt.Number), store: s, waiting: map[string]chan result{}, calls: make(chan func(), 1024),
-		peers: map[uint64]*peer{}, start: time.Now(), ended: make(chan struct{})}
+		peers: map[uint64]*peer{}, start: time.Now(), ended: make(chan struct{}), gather: time.NewTimer(0)}
 	snap, err := s.memory.Snapshot()
 	if err == nil {
 		k.applied, k.conf = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetConfState()
@@ -185,6 +187,7 @@
 			return
 		case <-tick.C:
 			k.node.Tick()
+		case <-k.gather.C:
 		case call := <-k.calls:
 			call()
 		}
@@ -402,6 +405,12 @@
 		k.asks, k.sure = append(b.calls, k.asks...), nil
 	}
 	if k.sure == nil && len(k.asks) > 0 {
+		// Each confirmation costs a round to all keepers, so asks are gathered for half a tick, unless a version waits for them.
+		if rest := k.opt.Tick/2 - time.Since(k.gathered); rest > 0 && k.ledger.InForce == k.ledger.Announced {
+			k.gather.Reset(rest)
+			return
+		}
+		k.gathered = time.Now()
 		k.readings++
 		k.sure = &batch{ctx: binary.BigEndian.AppendUint64(number(k.term), k.readings), at: time.Now(), calls: k.asks}
 		k.asks = nil
--- a/internal/fleet/rules/version.go
+++ b/internal/fleet/rules/version.go
@@ -15,6 +15,7 @@
 	Time   string `json:"time"`
 	Rules  []byte `json:"rules"` // in the canonical form
 	read   *Rules
+	floor  *Rules
 }
 
 // Open reads a version's rules and checks them against its digest.
@@ -33,6 +34,15 @@
 	return r, nil
 }
 
+// Floor reads the version's floor.
+func (v *Version) Floor() (*Rules, error) {
+	r, err := v.Open()
+	if err == nil && v.floor == nil {
+		v.floor = r.Lapsed()
+	}
+	return v.floor, err
+}
+
 // Name names the version, for people.
 func (v *Version) Name() string {
 	if v == nil {
