A keeper on a full disk ends before it promises; a cut-off file is refused wherever it is cut

Cause: a file that was cut off was refused by what happened to be unreadable in it (a page past the end, an entry of zeros), so one cut in a quiet place could have been taken for whole; seen under -race, where the cut fell elsewhere.

Change: the file's length is held against what bbolt says it has written. A test has a keeper's files stop growing at 200 kB.

The keeper with the full disk ends with its reason, two go on, and it comes back with every acknowledged version.

--- a/internal/fleet/follow/killed_test.go
+++ b/internal/fleet/follow/killed_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -167,3 +168,56 @@
 	}
 	t.Logf("%d kills, %d proposals taken, %d operations: %v", kills, taken.Load(), len(ops), result)
 }
+
+// A keeper whose disk is full ends with the reason, and before it has promised anything by what it could not write; the others go on, and
+// with room again it has all that was acknowledged.
+func TestKeeperWithAFullDisk(t *testing.T) {
+	addrs, list := processes(t, "IRISPOST_TEST_DISK=200000")
+	c := &keep.Client{Keepers: addrs, Within: 30 * time.Second}
+	ended := make(chan struct{})
+	go func() { list[0].Wait(); close(ended) }()
+	var digests []string
+	propose := func() {
+		n := len(digests)
+		v, err := c.Propose(&accord.Proposal{ID: fmt.Sprint(n), Parent: uint64(n), Over: true, Rules: content(n + 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		digests = append(digests, v.Digest)
+	}
+	for full := false; !full; {
+		propose()
+		select {
+		case <-ended:
+			full = true
+		default:
+		}
+		if len(digests) > 2000 {
+			t.Fatal("the disk does not fill")
+		}
+	}
+	if text := fmt.Sprint(list[0].Stdout); list[0].ProcessState.ExitCode() != 3 || !strings.Contains(text, "nothing is promised by it") {
+		t.Errorf("it ended with %d: %s", list[0].ProcessState.ExitCode(), text)
+	}
+	for range 5 { // the two that are left
+		propose()
+	}
+	again := exec.Command(list[0].Path)
+	again.Env = append(list[0].Env, "IRISPOST_TEST_DISK=")
+	if err := again.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { again.Process.Kill(); again.Wait() })
+	list[1].Process.Kill() // so that it is needed
+	list[1].Wait()
+	propose()
+	all, err := c.Versions(1)
+	if err != nil || len(all) != len(digests) {
+		t.Fatalf("%d of %d versions: %v", len(all), len(digests), err)
+	}
+	for i, v := range all {
+		if v.Digest != digests[i] {
+			t.Errorf("version %d is another than was acknowledged", v.Number)
+		}
+	}
+}
--- a/internal/fleet/follow/size_test.go
+++ b/internal/fleet/follow/size_test.go
@@ -1,12 +1,14 @@
 package follow
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +16,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/keep"
 	"irispost/internal/fleet/rules"
@@ -28,6 +32,12 @@
 			o.Peers[uint64(i+1)] = addr
 		}
 		o.Listen = o.Peers[o.Number]
+		if limit, err := strconv.ParseUint(os.Getenv("IRISPOST_TEST_DISK"), 10, 64); err == nil { // no file grows past it, as on a full disk
+			signal.Ignore(unix.SIGXFSZ)
+			if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: limit, Max: limit}); err != nil {
+				panic(err)
+			}
+		}
 		k, err := keep.Start(o)
 		for tries := 0; err != nil && tries < 200; tries++ { // its address may be taken for a moment
 			time.Sleep(20 * time.Millisecond)
@@ -39,13 +49,14 @@
 		}
 		fmt.Println("serves")
 		<-k.Ended()
-		os.Exit(1)
+		fmt.Println(k.Err())
+		os.Exit(3)
 	}
 	os.Exit(m.Run())
 }
 
 // processes are keepers of their own.
-func processes(t *testing.T) (addrs []string, list []*exec.Cmd) {
+func processes(t *testing.T, more ...string) (addrs []string, list []*exec.Cmd) {
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
@@ -64,6 +75,10 @@
 		held[i].Close()
 		cmd := exec.Command(self)
 		cmd.Env = append(os.Environ(), fmt.Sprintf("IRISPOST_TEST_KEEPER=%d %s/%d %s", i+1, dir, i+1, strings.Join(addrs, " ")))
+		cmd.Stdout = &bytes.Buffer{}
+		if i == 0 {
+			cmd.Env = append(cmd.Env, more...)
+		}
 		if err := cmd.Start(); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"go.etcd.io/bbolt"
+
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/rules"
 )
@@ -205,10 +207,19 @@
 	if err := h.start(2); err == nil || !strings.Contains(err.Error(), "belongs to keeper 3") {
 		t.Errorf("another's folder: %v", err)
 	}
-	torn := t.TempDir()
-	os.WriteFile(filepath.Join(torn, "keeper.db"), now[:len(now)/3], 0o600)
-	if _, err := openStore(torn, 3, []uint64{1, 2, 3}); err == nil || !strings.Contains(err.Error(), "cannot be read") {
-		t.Errorf("a torn folder: %v", err)
+	for part := 1; part < 16; part++ {
+		torn := t.TempDir()
+		os.WriteFile(filepath.Join(torn, "keeper.db"), now[:len(now)*part/16], 0o600)
+		if s, err := openStore(torn, 3, []uint64{1, 2, 3}); err == nil {
+			size := int64(0)
+			s.db.View(func(tx *bbolt.Tx) error { size = tx.Size(); return nil })
+			if size > int64(len(now)*part/16) { // what was cut off was in use
+				t.Errorf("%d of 16 parts of a folder are taken for one", part)
+			}
+			s.db.Close()
+		} else if !strings.Contains(err.Error(), "cannot be read") {
+			t.Errorf("a torn folder: %v", err)
+		}
 	}
 	os.WriteFile(filepath.Join(h.folder(2), "keeper.db"), two, 0o600)
 	os.WriteFile(filepath.Join(h.folder(3), "keeper.db"), now, 0o600)
--- a/internal/fleet/keep/store.go
+++ b/internal/fleet/keep/store.go
@@ -65,6 +65,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s cannot be read: %w; a keeper whose folder is lost is replaced, not started anew", file, err)
 	}
+	if err := whole(db, file); err != nil {
+		db.Close()
+		return nil, err
+	}
 	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}}
 	if err := s.load(file, self, voters); err != nil {
 		db.Close()
@@ -73,6 +77,17 @@
 	return s, nil
 }
 
+// whole refuses a file that is shorter than what was written to it.
+func whole(db *bbolt.DB, file string) error {
+	return db.View(func(tx *bbolt.Tx) error {
+		info, err := os.Stat(file)
+		if err == nil && info.Size() < tx.Size() {
+			err = fmt.Errorf("%s cannot be read: it has %d bytes of %d; a keeper whose folder is lost is replaced, not started anew", file, info.Size(), tx.Size())
+		}
+		return err
+	})
+}
+
 func (s *store) load(file string, self uint64, voters []uint64) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{bucketSelf, bucketRaft, bucketLog, bucketKnown} {
