A gateway that follows says what it acts on, and where its own settings contradict it

Need: plans, products and limits still come from each gateway's own configuration, so an operator has to see where that parts from the version in force; and irispost status did not tell of versions.

Change: one warning for each version and each thing in which the own configuration contradicts it; the state and what is acted on in the status. A test of a whole gateway with one keeper: in step, a limit that parts, the keeper gone (nothing is served without a floor), the keeper back.

--- a/cmd/irispost/capture.go
+++ b/cmd/irispost/capture.go
@@ -304,6 +304,9 @@
 		for _, state := range slices.Sorted(maps.Keys(s.Nodes)) {
 			fmt.Fprintf(w, " %d %s", s.Nodes[state], state)
 		}
+		if s.Rules != "" {
+			fmt.Fprintf(w, "; rules: %s", s.Rules)
+		}
 		if s.Lost != nil {
 			fmt.Fprintf(w, "; the loss of %d is HELD, see irispost members", s.Lost.Nodes)
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -27,6 +27,7 @@
 	Capture  Capture            `json:"capture"`
 	Nodes    map[string]int     `json:"nodes"` // by their state; see Members
 	Lost     *Held              `json:"lost,omitempty"`
+	Rules    string             `json:"rules,omitempty"` // of a gateway that follows keepers: its state, and what it acts on
 }
 
 // Product counts a product's jobs since the gateway's start.
--- a/internal/fleet/accord/follower.go
+++ b/internal/fleet/accord/follower.go
@@ -226,6 +226,14 @@
 	return list, f.state == Lapsed || f.state == Returning && f.effect != nil
 }
 
+// Newest is the newest version that counts, as it was read; nil: none.
+func (f *Follower) Newest() (*rules.Version, *rules.Rules) {
+	if len(f.held) == 0 {
+		return nil, nil
+	}
+	return f.held[len(f.held)-1], f.opened[len(f.opened)-1]
+}
+
 // Until is when what is acted on changes at the latest if nothing is heard; 0: it does not.
 func (f *Follower) Until() Time {
 	switch {
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -17,6 +17,7 @@
 
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/keep"
+	"irispost/internal/fleet/rules"
 	"irispost/internal/listing"
 )
 
@@ -28,7 +29,8 @@
 	Now     func() int64  // the gateway's own clock: it never goes back
 	Wake    func()        // what is acted on may have changed; it must not wait
 	Seed    uint64
-	Record  string // file for what was acted on from when; empty: none
+	Differs func(r *rules.Rules) []string // in what the gateway\'s own configuration contradicts a version; nil: not asked
+	Record  string                        // file for what was acted on from when; empty: none
 	Flaws   accord.Flaws
 	Log     *slog.Logger
 }
@@ -85,6 +87,7 @@
 	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: within}).DialContext, MaxIdleConnsPerHost: 1}}}
 	which, least := chance.IntN(len(f.opt.Keepers)), f.opt.Pause/16
 	wait := least
+	var seen *rules.Version
 	for ctx.Err() == nil {
 		f.lock.Lock()
 		at := f.f.Due(f.opt.Now())
@@ -103,9 +106,16 @@
 			f.lock.Lock()
 			f.f.Heard(f.opt.Now(), g)
 			lines := f.f.Log()
+			newest, content := f.f.Newest()
 			f.lock.Unlock()
 			f.say(lines)
 			f.opt.Wake()
+			if newest != seen && f.opt.Differs != nil { // plans, products and limits still come from there
+				seen = newest
+				for _, line := range f.opt.Differs(content) {
+					f.opt.Log.Warn("the gateway's own configuration contradicts version "+newest.Name(), "gateway", f.opt.Gateway, "in", line)
+				}
+			}
 			if g.Lease > 0 {
 				wait = least
 				continue
--- a/internal/serve/admin.go
+++ b/internal/serve/admin.go
@@ -100,6 +100,10 @@
 	for name, c := range f.Products {
 		s.Products[name] = admin.Product(*c)
 	}
+	if g.follow != nil {
+		state, acts := g.follow.Status()
+		s.Rules = state + " on " + acts
+	}
 	g.captures.lock.Lock()
 	s.Capture = g.captures.now()
 	g.captures.lock.Unlock()
--- /dev/null
+++ b/internal/serve/follow_test.go
@@ -0,0 +1,116 @@
+package serve_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"irispost/internal/config"
+	"irispost/internal/fleet/accord"
+	"irispost/internal/fleet/keep"
+	"irispost/internal/fleet/rules"
+	"irispost/internal/serve"
+	"irispost/internal/testkit"
+)
+
+// lines is a log that may be read while it is written.
+type lines struct {
+	lock sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) has(text string) bool {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// A gateway that follows serves by the version in force, says what it acts on, and in what its own configuration contradicts it; with
+// its keeper gone and no floor it serves nothing, at once and with an answer; with the keeper back it serves again.
+func TestGatewayFollows(t *testing.T) {
+	w := testkit.Start(t, testkit.Conf, 2, 0, nil)
+	dir, quiet := t.TempDir(), slog.New(slog.NewTextHandler(io.Discard, nil))
+	addr := ""
+	keeper := func() *keep.Keeper {
+		o := keep.Options{Number: 1, Listen: "127.0.0.1:0", Peers: map[uint64]string{1: "-"}, Dir: dir, Terms: accord.Terms{Lease: 5e8, Drift: 0.01},
+			Tick: 10 * time.Millisecond, Log: quiet}
+		if addr != "" {
+			o.Listen = addr
+		}
+		var k *keep.Keeper
+		until(func() bool { // its address may be taken for a moment
+			var err error
+			k, err = keep.Start(o)
+			return err == nil
+		})
+		addr = k.Addr()
+		return k
+	}
+	k := keeper()
+	defer func() { k.Close() }()
+	conf := strings.Replace(testkit.Conf, `nodes    = "-"`, "", 1) + fmt.Sprintf("follow {\n  keepers = [%q]\n  pause   = \"50ms\"\n}\n", addr)
+	c, err := config.Parse("test.hcl", fmt.Appendf(nil, conf, "g", 2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rules.Rules{Needs: 1, Shards: 2, Mean: 1}
+	r.Agree(c.Terms)
+	for i, n := range w.Nodes {
+		r.Nodes[n.Addr()] = rules.Node{Shard: i}
+	}
+	client := &keep.Client{Keepers: []string{addr}, Within: 30 * time.Second}
+	propose := func(parent uint64) {
+		if _, err := client.Propose(&accord.Proposal{ID: fmt.Sprint(parent), Parent: parent, Over: true, Rules: r.Canonical()}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	propose(0)
+	log := &lines{}
+	g, err := serve.StartWith(c, nil, slog.New(slog.NewTextHandler(log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Gateways = append(w.Gateways, g)
+	sftp := w.Client(0)
+	if err := sftp.Mkdir("/meals/week"); err != nil {
+		t.Fatal(err)
+	}
+	stands := func(what string) {
+		until(func() bool {
+			s, err := g.Status()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return strings.HasPrefix(s.Rules, what)
+		})
+	}
+	stands("acting on 1.")
+	if log.has("contradicts version") {
+		t.Error("the same settings are said to contradict")
+	}
+	p := r.Plans["basic"]
+	p.Limit = 7
+	r.Plans["basic"] = p
+	propose(1)
+	stands("acting on 2.")
+	until(func() bool { return log.has("contradicts version 2.") && log.has("limit none over 7") })
+	k.Close()
+	stands("ended on none")
+	if err := sftp.Mkdir("/meals/month"); err == nil {
+		t.Error("it serves by rules that may be out of force")
+	}
+	k = keeper()
+	stands("acting on 2.")
+	testkit.Again(t, "it serves again", func() error { return sftp.Mkdir("/meals/year") })
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -92,7 +92,8 @@
 		stands := make(chan struct{}) // the loop, which a first word may come before
 		var err error
 		g.follow, err = follow.Start(follow.Options{Gateway: c.Name, Keepers: c.Follow.Keepers, Pause: c.Follow.Pause, Now: opt.Clock.Now,
-			Wake: func() { <-stands; g.Loop.Wake() }, Seed: c.Seed, Record: c.Follow.Record, Log: log, Flaws: flaws()})
+			Wake: func() { <-stands; g.Loop.Wake() }, Seed: c.Seed, Differs: c.Agreed,
+			Record: c.Follow.Record, Log: log, Flaws: flaws()})
 		if err != nil {
 			return nil, err
 		}
