Tell the stated time in irispost fleet status

Need: operators have to see within what time gateways agree, with the lease and drift that their fleet was founded with.

Change: the leading keeper's status has T of docs/fleet.md beside the lease.

--- a/cmd/irispost/fleet.go
+++ b/cmd/irispost/fleet.go
@@ -235,7 +235,7 @@
 				return err
 			}
 			out := c.OutOrStdout()
-			fmt.Fprintf(out, "keeper %d leads in term %d; in force %d, announced %d; lease %d ms\n", s.Leader, s.Term, s.InForce, s.Announced, s.Lease)
+			fmt.Fprintf(out, "keeper %d leads in term %d; in force %d, announced %d; lease %d ms, stated time %d ms\n", s.Leader, s.Term, s.InForce, s.Announced, s.Lease, s.Stated)
 			for _, w := range s.Waits {
 				fmt.Fprintln(out, "waits for", w)
 			}
--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -20,6 +20,7 @@
 	InForce   uint64         `json:"in_force"`
 	Announced uint64         `json:"announced"`
 	Lease     int64          `json:"lease_ms"`
+	Stated    int64          `json:"stated_ms"`       // T of docs/fleet.md
 	Waits     []string       `json:"waits,omitempty"` // what an announced version waits for
 	Gateways  []accord.Seen  `json:"gateways"`
 	Newest    *rules.Version `json:"newest,omitempty"`
@@ -82,7 +83,7 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		k.answer(w, r, func(warden *accord.Warden) any {
 			l := k.ledger
-			s := Status{Keeper: k.opt.Number, Leader: k.leader, Term: k.term, InForce: l.InForce, Announced: l.Announced, Lease: l.Terms.Lease / 1e6,
+			s := Status{Keeper: k.opt.Number, Leader: k.leader, Term: k.term, InForce: l.InForce, Announced: l.Announced, Lease: l.Terms.Lease / 1e6, Stated: Stated(l.Terms) / 1e6,
 				Gateways: warden.Look(k.now()), Newest: l.Version(l.Announced)}
 			if l.InForce != l.Announced {
 				s.Waits = warden.Waits(k.now())
@@ -144,13 +145,13 @@
 	return true
 }
 
-// elsewhere tells that this keeper does not lead, and which does.
+// elsewhere tells that this keeper does not lead.
 func (k *Keeper) elsewhere(w http.ResponseWriter) {
 	http.Error(w, ErrNotLeading.Error(), http.StatusMisdirectedRequest)
 }
 
 // answer answers once it is sure that this keeper leads.
-func (k *Keeper) answer(w http.ResponseWriter, r *http.Request, make_ func(*accord.Warden) any) {
+func (k *Keeper) answer(w http.ResponseWriter, r *http.Request, content func(*accord.Warden) any) {
 	to := make(chan []byte, 1)
 	k.do(r.Context(), func() {
 		k.whenSure(func(warden *accord.Warden) {
@@ -158,7 +159,7 @@
 				to <- nil
 				return
 			}
-			b, err := json.Marshal(make_(warden))
+			b, err := json.Marshal(content(warden))
 			if err != nil {
 				k.log.Error("an answer cannot be written", "why", err)
 			}
