--- a/cmd/irispost/fleet.go
+++ b/cmd/irispost/fleet.go
@@ -250,30 +250,22 @@
 			}
 			return w.Flush()
 		}}
-	root.AddCommand(status)
+	root.AddCommand(status, sizeCommand())
 	return root
 }
 
-// demoKeepers starts keepers as processes, proposes the list as the first version and has a gateway follow. It returns what to try.
-func demoKeepers(count int, dir string, conf *config.Gateway, l listing.List) (text string, end func(), err error) {
-	if count != 1 && count != 3 && count != 5 {
-		return "", nil, fmt.Errorf("--keepers %d: one, three or five", count)
-	}
-	self, err := os.Executable()
-	if err != nil {
-		return "", nil, err
-	}
-	var addrs, args, pids []string
+// startKeepers starts keepers as processes, each with a folder under one. end ends them.
+func startKeepers(self string, count int, dir string) (addrs []string, started []*exec.Cmd, end func(), err error) {
+	var args []string
 	var held []net.Listener
 	for i := range count {
 		h, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return "", nil, err
+			return nil, nil, nil, err
 		}
 		held, addrs = append(held, h), append(addrs, h.Addr().String())
 		args = append(args, "--peer", fmt.Sprintf("%d=%s", i+1, h.Addr()))
 	}
-	var started []*exec.Cmd
 	end = func() {
 		for _, cmd := range started {
 			cmd.Process.Kill()
@@ -282,12 +274,33 @@
 	}
 	for i := range count {
 		held[i].Close()
-		cmd := exec.Command(self, append([]string{"keeper", "--number", strconv.Itoa(i + 1), "--listen", addrs[i], "--dir", filepath.Join(dir, "keeper", strconv.Itoa(i+1))}, args...)...)
+		number := strconv.Itoa(i + 1)
+		cmd := exec.Command(self, append([]string{"keeper", "--number", number, "--listen", addrs[i], "--dir", filepath.Join(dir, number)}, args...)...)
 		if err := cmd.Start(); err != nil {
 			end()
-			return "", nil, err
+			return nil, nil, nil, err
 		}
-		started, pids = append(started, cmd), append(pids, strconv.Itoa(cmd.Process.Pid))
+		started = append(started, cmd)
+	}
+	return addrs, started, end, nil
+}
+
+// demoKeepers starts keepers as processes, proposes the list as the first version and has a gateway follow. It returns what to try.
+func demoKeepers(count int, dir string, conf *config.Gateway, l listing.List) (text string, end func(), err error) {
+	if count != 1 && count != 3 && count != 5 {
+		return "", nil, fmt.Errorf("--keepers %d: one, three or five", count)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", nil, err
+	}
+	addrs, started, end, err := startKeepers(self, count, filepath.Join(dir, "keeper"))
+	if err != nil {
+		return "", nil, err
+	}
+	var pids []string
+	for _, cmd := range started {
+		pids = append(pids, strconv.Itoa(cmd.Process.Pid))
 	}
 	r := &rules.Rules{Needs: rules.Form, Shards: conf.Shards, Mean: 1, Floor: rules.Floor{For: int64(time.Minute), Limits: 1, Writes: true}}
 	r.Agree(conf.Terms)
--- a/internal/fleet/accord/warden.go
+++ b/internal/fleet/accord/warden.go
@@ -34,9 +34,11 @@
 	seq     uint64
 	holds   []uint64 // as it said last
 	granted []granted
-	lease   Time // it acts on no version after this
-	floor   Time // nor on the floor of one after this
-	unknown Time // until then it may act on the floor of any version: nothing was heard from it in this term
+	lease   Time   // it acts on no version after this
+	floor   Time   // nor on the floor of one after this
+	unknown Time   // until then it may act on the floor of any version: nothing was heard from it in this term
+	offered uint64 // the announced version that it was first granted
+	since   Time   // then
 	heard   Time
 	state   string
 	trouble string
@@ -92,9 +94,15 @@
 		h.seq, h.holds, h.unknown = a.Seq, slices.Clone(a.Holds), 0
 		h.granted = slices.DeleteFunc(h.granted, func(g granted) bool { return g.seq <= a.Taken })
 	}
+	t := w.ledger.Terms
+	if n := w.ledger.Announced; h.offered != n {
+		h.offered, h.since = n, now
+	} else if n != w.ledger.InForce && !slices.Contains(a.Holds, n) && a.Trouble == "" && now > h.since+t.longer(t.Lease) {
+		return g // it is heard and does not hear: what it holds has to run out
+	}
+	h.granted = slices.DeleteFunc(h.granted, func(o granted) bool { return o.inForce == g.InForce })
 	h.granted = append(h.granted, granted{a.Seq, g.InForce})
 	h.heard, h.state, h.trouble = now, a.State, a.Trouble
-	t := w.ledger.Terms
 	h.lease = max(h.lease, now+t.longer(t.Lease))
 	if w.flaws.Has(NoDrift) {
 		h.lease = now + t.Lease
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -29,7 +29,7 @@
 	Now     func() int64  // the gateway's own clock: it never goes back
 	Wake    func()        // what is acted on may have changed; it must not wait
 	Seed    uint64
-	Differs func(r *rules.Rules) []string // in what the gateway\'s own configuration contradicts a version; nil: not asked
+	Differs func(r *rules.Rules) []string // in what the gateway's own configuration contradicts a version; nil: not asked
 	Record  string                        // file for what was acted on from when; empty: none
 	Flaws   accord.Flaws
 	Log     *slog.Logger
@@ -43,7 +43,6 @@
 	told   string // what the loop was told last
 	until  int64  // and until when it counts
 	first  chan struct{}
-	news   chan struct{}
 	record *os.File
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -52,8 +51,7 @@
 // Start begins to follow.
 func Start(opt Options) (*Following, error) {
 	boot := fmt.Sprintf("%s/%d.%d", opt.Gateway, os.Getpid(), time.Now().UnixNano()) // a start is told from all others of its name
-	f := &Following{opt: opt, f: accord.Follow(boot, int64(opt.Pause), opt.Flaws), told: "none", first: make(chan struct{}),
-		news: make(chan struct{}, 1)}
+	f := &Following{opt: opt, f: accord.Follow(boot, int64(opt.Pause), opt.Flaws), told: "none", first: make(chan struct{})}
 	if opt.Record != "" {
 		var err error
 		if f.record, err = os.OpenFile(opt.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
