--- a/decide/text.go
+++ b/decide/text.go
@@ -1,8 +1,24 @@
 package decide
 
-import _ "embed"
+import (
+	"embed"
+	"io/fs"
+)
 
-// Text is the module's source, by which a capture says what decided in it.
-//
-//go:embed decide.go
-var Text []byte
+//go:embed decide.go jobs.go turns.go outcomes.go nodes.go cold.go
+var texts embed.FS
+
+// Text is the module's source, by which a capture says what decided in it: its files in order of their names.
+var Text = text()
+
+func text() (all []byte) {
+	files, err := fs.Glob(texts, "*.go") // sorted
+	if err != nil {
+		panic(err) // the pattern is fixed
+	}
+	for _, f := range files {
+		b, _ := texts.ReadFile(f)
+		all = append(all, b...)
+	}
+	return all
+}
