--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -15,6 +15,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"irispost/decide"
@@ -59,6 +60,7 @@
 	short    bool // the mode last logged
 	phase    phase
 	none     chan struct{} // closed when no connection can come and none is left
+	turned   chan struct{} // room for those that are being turned away
 }
 
 // phase is how far the front's end has come.
@@ -101,7 +103,7 @@
 		return nil, err
 	}
 	f := &Front{opt: opt, known: knownBy(opt.Terms), listener: l, conns: map[*conn]bool{}, asked: map[string]bool{},
-		none: make(chan struct{})}
+		none: make(chan struct{}), turned: make(chan struct{}, max(opt.Limits.Connections/16, 1))}
 	go f.accept()
 	go f.tend()
 	return f, nil
@@ -125,10 +127,54 @@
 			go c.serve()
 			continue
 		}
-		raw.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
-		raw.Write(http1.NewAnswer(503).Field("Connection", "close").Body([]byte("too many connections\n"), true))
-		raw.Close()
+		select {
+		case f.turned <- struct{}{}:
+			go func() {
+				f.turnAway(raw)
+				<-f.turned
+			}()
+		default: // a crowd that says nothing: it has no time either
+			raw.Close()
+		}
+	}
+}
+
+// turnAway tells a client that there is no room. A close on bytes that nobody has read would take the answer with it, and its
+// request would be lost without one, so what the client sends is let go by for a moment.
+func (f *Front) turnAway(raw net.Conn) {
+	defer raw.Close()
+	raw.SetDeadline(time.Now().Add(lastBytes))
+	if _, err := raw.Write(http1.NewAnswer(503).Field("Connection", "close").Body([]byte("too many connections\n"), true)); err != nil {
+		return
+	}
+	if t, ok := raw.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	io.CopyN(io.Discard, onlyReader{raw}, 4*f.opt.Limits.Message.Body)
+}
+
+// onlyReader hides what else a connection can do, so that nothing is spliced.
+type onlyReader struct{ io.Reader }
+
+// lastBytes is for how long a client may still send on a connection that has its last answer.
+const lastBytes = 200 * time.Millisecond
+
+// says tells whether a client's bytes wait in a connection's socket: it is neither idle nor silent then, only not read yet.
+func says(raw net.Conn) bool {
+	s, ok := raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	c, err := s.SyscallConn()
+	if err != nil {
+		return false
 	}
+	waits := false
+	c.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = err == nil && n > 0
+	})
+	return waits
 }
 
 // admit takes a connection in, if there is room or one that can go; else nil.
@@ -176,7 +222,7 @@
 		if c.state > idle || now.Sub(c.since) < least {
 			continue
 		}
-		if best == nil || c.state < best.state || c.state == best.state && c.since.Before(best.since) {
+		if (best == nil || c.state < best.state || c.state == best.state && c.since.Before(best.since)) && !says(c.raw) {
 			best = c
 		}
 	}
@@ -258,7 +304,7 @@
 	if t, ok := c.raw.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	c.raw.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	c.raw.SetReadDeadline(time.Now().Add(lastBytes))
 	io.CopyN(io.Discard, c.in, 4*c.front.opt.Limits.Message.Body)
 }
 
@@ -437,7 +483,7 @@
 	f.lock.Lock()
 	f.phase = closing
 	for c := range f.conns {
-		if c.state == fresh || c.state == idle {
+		if c.state <= idle && !says(c.raw) { // what has come in already gets its answer, and then the close
 			c.move(ended)
 		}
 	}
