--- a/cmd/irispost/fleet.go
+++ b/cmd/irispost/fleet.go
@@ -36,6 +36,7 @@
 	c.Flags().DurationVar(&o.Tick, "tick", 50*time.Millisecond, "a leader that is silent for ten to twenty ticks is replaced")
 	c.Flags().Uint64Var(&o.Compact, "compact", 2000, "entries of the log that are kept before it is compacted")
 	peers := c.Flags().StringToString("peer", nil, "NUMBER=ADDRESS of each keeper, with this one")
+	c.Flags().BoolVar(&o.Joins, "join", false, "come to keepers that are there already: it votes once 'irispost fleet keepers --add' has taken it in")
 	log := logs(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if o.Dir == "" || o.Number == 0 {
@@ -250,7 +251,38 @@
 			}
 			return w.Flush()
 		}}
-	root.AddCommand(status, sizeCommand())
+	change := &cobra.Command{Use: "keepers", Short: "Show who keeps the versions, or change it: --add 4=10.0.0.4:7100 --remove 2", Args: cobra.NoArgs}
+	add := change.Flags().StringToString("add", nil, "NUMBER=ADDRESS of a keeper that was started with --join; the number was never used")
+	remove := change.Flags().UintSlice("remove", nil, "number of a keeper that is to vote no more; it can be ended then")
+	change.RunE = func(c *cobra.Command, _ []string) error {
+		client, err := dial()
+		if err != nil {
+			return err
+		}
+		if len(*add)+len(*remove) > 0 {
+			v := &keep.Voters{Add: map[uint64]string{}}
+			for name, addr := range *add {
+				n, err := strconv.ParseUint(name, 10, 32)
+				if err != nil || n == 0 {
+					return fmt.Errorf("--add %s=%s: a keeper's number is from 1 on", name, addr)
+				}
+				v.Add[n] = addr
+			}
+			for _, n := range *remove {
+				v.Remove = append(v.Remove, uint64(n))
+			}
+			if err := client.Voters(v); err != nil {
+				return err
+			}
+		}
+		s, err := client.Status()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "keepers %v vote, %d leads\n", s.Voters, s.Leader)
+		return nil
+	}
+	root.AddCommand(status, change, sizeCommand())
 	return root
 }
 
--- a/cmd/irispost/fleet_test.go
+++ b/cmd/irispost/fleet_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := day.Load("../../examples/fleet-agree-" + name + ".hcl")
+	s, err := day.Load("../../examples/fleet-" + name + ".hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,7 +45,9 @@
 		s.Troubles[i].For /= 2
 	}
 	for i := range s.Clients {
-		s.Clients[i].Rate /= 2
+		if !s.Fleet.Peers { // what cold nodes bear has to be asked for
+			s.Clients[i].Rate /= 2
+		}
 	}
 	r, err := day.Play(context.Background(), s, day.Options{Program: self, Note: t.Logf})
 	if err != nil {
@@ -56,7 +58,7 @@
 
 func TestFleetDays(t *testing.T) {
 	t.Setenv("IRISPOST_TEST_AS_PROGRAM", "1")
-	for _, name := range []string{"split", "stopped"} {
+	for _, name := range []string{"agree-split", "agree-stopped", "cold-oneway"} {
 		r := playFleet(t, name, 7)
 		if !r.Good() || r.Agreement.Versions < 4 || r.Agreement.Pairs != 66 || r.Completed == 0 {
 			t.Errorf("%s: %+v, %+v", name, r, r.Agreement)
@@ -68,7 +70,7 @@
 func TestWithoutLeasesTheAuditBreaks(t *testing.T) {
 	t.Setenv("IRISPOST_TEST_AS_PROGRAM", "1")
 	t.Setenv("IRISPOST_TEST_NO_LEASES", "1")
-	if r := playFleet(t, "split", 7); r.Agreement.Broken == 0 || r.Agreement.Worst <= r.Agreement.Stated {
+	if r := playFleet(t, "agree-split", 7); r.Agreement.Broken == 0 || r.Agreement.Worst <= r.Agreement.Stated {
 		t.Errorf("%+v", r.Agreement)
 	}
 }
--- a/cmd/irispost/run.go
+++ b/cmd/irispost/run.go
@@ -24,7 +24,6 @@
 	"irispost/internal/listing"
 	"irispost/internal/serve"
 	"irispost/internal/standin"
-	"irispost/internal/xds"
 )
 
 // untilSignal ends with SIGINT or SIGTERM.
@@ -78,77 +77,6 @@
 	return c
 }
 
-func checkCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE ...", Short: "Check configurations with their sources' files, lists of nodes (*nodes*.hcl) and days (day*.hcl)",
-		Args: cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, files []string) error {
-			bad := 0
-			for _, file := range files {
-				if err := check(file); err != nil {
-					fmt.Fprintln(c.ErrOrStderr(), err)
-					bad++
-				} else {
-					fmt.Fprintln(c.OutOrStdout(), file, "is in order")
-				}
-			}
-			if bad > 0 {
-				return fmt.Errorf("%d of %d files are not in order", bad, len(files))
-			}
-			return nil
-		}}
-}
-
-func check(file string) error {
-	base := filepath.Base(file)
-	if ok, _ := filepath.Match("*nodes*.hcl", base); ok {
-		src, err := os.ReadFile(file)
-		if err == nil {
-			_, err = listing.Parse(file, src)
-		}
-		return err
-	}
-	if ok, _ := filepath.Match("rules*.hcl", base); ok {
-		src, err := os.ReadFile(file)
-		if err == nil {
-			_, err = config.Rules(file, src)
-		}
-		return err
-	}
-	scripted, _ := filepath.Match("day*.hcl", base)
-	if fleet, _ := filepath.Match("fleet-agree-*.hcl", base); fleet || scripted {
-		_, err := day.Load(file)
-		return err
-	}
-	c, err := config.Load(file)
-	if err != nil {
-		return err
-	}
-	var problems error
-	for _, s := range c.Sources { // files of sources that are there are checked with it
-		from := func(name string) string {
-			if filepath.IsAbs(name) {
-				return name
-			}
-			return filepath.Join(filepath.Dir(file), name)
-		}
-		switch s.Kind {
-		case "own":
-			var src []byte
-			if src, err = os.ReadFile(from(s.File)); err == nil {
-				_, err = listing.Parse(from(s.File), src)
-			}
-		case "xds-file":
-			_, _, err = xds.Check(from(s.Clusters), from(s.Endpoints))
-		default:
-			continue
-		}
-		if err != nil && !errors.Is(err, os.ErrNotExist) {
-			problems = errors.Join(problems, fmt.Errorf("source %q: %w", s.Name, err))
-		}
-	}
-	return problems
-}
-
 func nodeCommand() *cobra.Command {
 	c := &cobra.Command{Use: "node", Short: "Run a stand-in storage node", Args: cobra.NoArgs}
 	o := standin.Options{Marks: time.Minute}
--- a/decide/cold.go
+++ b/decide/cold.go
@@ -2,7 +2,8 @@
 
 // cold tells whether a node started so lately that it can do only part of its work.
 func (g *Gateway) cold(n *Node) bool {
-	return n.Born > 0 && g.now-n.Born < g.terms.span("cold.time")
+	born := g.born(n)
+	return born > 0 && g.now-born < g.terms.span("cold.time")
 }
 
 // bears keeps cold nodes from being pushed over. All gateways push, and each sees only itself. Each sends its
@@ -16,12 +17,15 @@
 		n.Sends, n.Answers = n.Sends[:0], n.Answers[:0]
 		return true
 	}
+	if g.now < n.LentTill {
+		return n.Lent >= j.Units
+	}
 	window, multiple := g.terms.span("cold.window"), coldShare*g.terms.number("cold.multiple")
 	if j.Answered = n.Sends.since(g.now-window)+j.Units <= multiple*n.Answers.since(g.now-window); j.Answered {
 		return true
 	}
 	part := g.terms.number("cold.from")
-	part += (1 - part) * float64(g.now-n.Born) / float64(g.terms.span("cold.time"))
+	part += (1 - part) * float64(g.now-g.born(n)) / float64(g.terms.span("cold.time"))
 	most := multiple * part * g.meanRate() * float64(window) / float64(Second)
 	most = max(most, g.terms.number("cold.units")) / max(g.terms.number("gateways"), 1)
 	n.Warm.resize(g.now, most/2/float64(window)*float64(Second), most/2)
@@ -35,6 +39,20 @@
 	return j.Borne == Passed || g.within(&n.Warm, j, &j.Cold)
 }
 
+// Lend says what the dealer of a node's budget lends: until then nothing else goes there while it is cold. It
+// returns what was left of the last loan; born tells of which start.
+func (g *Gateway) Lend(now Time, addr string, born Time, units float64, till Time) (left float64) {
+	n := g.byAddr[addr]
+	if g.now = now; n == nil || n.Born != born {
+		return 0
+	}
+	if now < n.LentTill {
+		left = n.Lent
+	}
+	n.Lent, n.LentTill, n.touched = units, till, true
+	return left
+}
+
 // fair tells whether a job beyond the reserve can go. It guards against many gateways that each send a little
 // too much: what one saw of a node is soon untrue, but how much it takes beyond reserves lasts. Its fair rate
 // follows waits; under its start, our part of it goes by weight. It hurts where answers are dear, not late.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,19 +1,13 @@
 // Package decide orders and paces the jobs of many volumes over storage nodes, for one gateway.
 //
 // How it is called: New makes a Gateway from its start values. Each thing that happens is one call: Listing,
-// Listed, ListDone, ListFailed, Take, Begun, Ended, Left, Probed. After the last call of a moment,
+// Listed, ListDone, ListFailed, Agree, Take, Begun, Ended, Left, Probed. After the last call of a moment,
 // Decide(now) says what to do: executions to start and call off, jobs ended, list calls, log lines, and when
-// to call again. Here are the open values and the order of a decision; jobs.go has the life of a job, turns.go
-// whose turn it is, outcomes.go executions, nodes.go what is known of nodes, cold.go what cold nodes and fair rates
-// pass. The interface is in types.go (what is handed in and out); chance.go, due.go and start.go hold mechanics
-// only. docs/design.md tells of the mechanism and its exceptions, by the names used here.
+// to call again. The interface is in types.go; jobs.go has the life of a job, turns.go whose turn it is,
+// outcomes.go executions, nodes.go what is known of nodes, cold.go what cold nodes and fair rates pass,
+// terms.go what is acted on. docs/design.md tells of the mechanism and its exceptions by the names used here.
 package decide
 
-import (
-	"cmp"
-	"fmt"
-)
-
 // Open values of the design. "Aim" is the tightest goal time of all products.
 const (
 	budgetJobs   = 8.0               // default budget of a turn, in mean jobs
@@ -52,6 +46,7 @@
 	roundsPerAim = 8                 // periodic rounds in one aim
 	listWait     = 250 * Millisecond // first wait after a failed list call; it doubles up to the most
 	listWaitMost = 16 * Second
+	silenceMost  = 6 * Second // after the list fell silent, what it missed counts as told (platform protocol)
 )
 
 // New starts a gateway from its seed and what it is told at start.
@@ -59,36 +54,12 @@
 	g := &Gateway{now: now, began: now, terms: terms, chance: newChance(seed), plans: map[string]*Plan{},
 		products: map[string]*Product{}, volumes: map[int64]*Volume{}, jobs: map[string]*Job{},
 		lines: map[int64]*Line{}, byAddr: map[string]*Node{}, next: &Decision{},
-		last: &Decision{}, listWait: listWait}
-	reserves, rates, weights := false, 0.0, 0.0
-	for i := range terms.count("plans") {
-		p := terms.plan(i)
-		p.Weight = cmp.Or(max(p.Weight, 0), 1)
-		g.plans[p.Name] = p
-		reserves = reserves || p.Reserve > 0
-		rates, weights = rates+p.Rate, weights+p.Weight
-	}
-	g.fairRate = rates / max(weights, 1e-3)
-	for _, p := range g.plans { // where no plan reserves, a multiple of what it is sized for stands in
-		if !reserves {
-			p.Reserve = standIn * p.Rate
-		}
-	}
-	for i := range terms.count("products") {
-		p := terms.product(i)
-		if p.Goal > 0 && (g.aim == 0 || p.Goal < g.aim) {
-			g.aim = p.Goal
-		}
-		g.products[p.Name] = p
-	}
-	g.aim, g.mean = max(g.aim, Millisecond), max(terms.number("units.mean"), 1e-3)
+		last: &Decision{}, listWait: listWait, heardAt: now}
+	g.settle()
 	g.next.Watch = terms["discovery"] == "ask"
 	return g
 }
 
-// Probed tells how a probe ended.
-func (g *Gateway) Probed(now Time, addr string, o Outcome, took Time) { g.now = now }
-
 // Decide says what to do now.
 func (g *Gateway) Decide(now Time) *Decision {
 	g.now = now
@@ -150,15 +121,3 @@
 	}
 	g.roundAt = g.now + max(g.aim/roundsPerAim, Millisecond)
 }
-
-// mode logs a change of mode, with what caused it.
-func (g *Gateway) mode(was *bool, is bool, format string, args ...any) {
-	if *was != is {
-		*was = is
-		g.log(fmt.Sprintf(format, args...), is)
-	}
-}
-
-func (g *Gateway) log(format string, args ...any) {
-	g.next.Log = append(g.next.Log, fmt.Sprintf(format, args...))
-}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -37,7 +37,7 @@
 			shard := part(3)
 			w.list([]string{"a0", "a1", "b2"}[shard], shard, w.now, Ready)
 		case 2:
-			w.g.ListFailed(w.now)
+			w.g.ListFailed(w.now, false)
 		case 3:
 			if j := w.jobs; len(j) > 0 && !w.ended[j[len(j)-1]] && !j[len(j)-1].State.Over() {
 				w.ended[j[len(j)-1]] = true
@@ -483,7 +483,7 @@
 	w := newWorld(1, terms("discovery=ask"))
 	asked := func() Time {
 		from := w.now
-		w.g.ListFailed(w.now)
+		w.g.ListFailed(w.now, false)
 		for ; w.now < from+60*Second; w.now += 10 * Millisecond {
 			if w.g.Decide(w.now).Watch {
 				break
@@ -686,3 +686,67 @@
 	want(t, w, "holder of the turn", n.Turn, n.Flows[0])
 	want(t, w, "the reserved job", due.State, Running)
 }
+
+// Guard: once the list has been silent for so long that what it missed counts as told, a node that may have drained or started anew
+// meanwhile is sent to only while it takes what it is sent, as one that is cold; a call that failed with a word changes nothing.
+func TestSilentListIsNotActedOnForEver(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		w := newWorld(1, terms("plans.0.limit=0", "drain.grace=2000"))
+		w.list("a0", 0, 0, Ready)
+		w.list("a1", 1, 0, Ready)
+		w.g.ListFailed(w.now, silent)
+		sent := map[string]int{}
+		for w.now < 30*Second {
+			met := []int{0, 0, 0, 1}[w.now/(40*Millisecond)%4] // the second node is met too, until the silence is long
+			if met == 0 || w.now < 7*Second {
+				w.take(1, "read", met, 1)
+			}
+			w.pass(40 * Millisecond)
+			for _, e := range w.started {
+				if w.now > 11*Second {
+					sent[e.Node.Addr]++
+				}
+			}
+			for len(w.out) > 0 {
+				w.end(w.out[0], Served)
+			}
+		}
+		late := w.take(1, "read", 1, 1)
+		w.pass(Millisecond)
+		want(t, w, "sent to a node that said nothing for as long", late.State == Running, !silent)
+		want(t, w, "sent on to one that answers", sent["a0"] > 100, true)
+		want(t, w, "cold for all that is known", w.g.cold(w.g.byAddr["a0"]), false) // its time has passed since the last word
+		w.list("a2", 2, 0, Ready)
+		w.pass(Millisecond)
+		want(t, w, "once the list is heard", late.State, Running)
+	}
+	w := newWorld(1, terms("drain.grace=2000"))
+	w.list("a0", 0, 0, Ready)
+	w.g.ListFailed(w.now, true)
+	w.wait(5 * Second)
+	want(t, w, "cold before what it missed counts as told", w.g.cold(w.g.byAddr["a0"]), false)
+	w.wait(Second)
+	want(t, w, "cold after", w.g.cold(w.g.byAddr["a0"]), true)
+}
+
+// Guard: who asks again after failed calls does so well within the time after which who has not asked counts as told.
+func TestListIsAskedAgainInTime(t *testing.T) {
+	for _, c := range []struct {
+		every  string
+		silent bool
+		most   Time
+	}{{"0", false, 24 * Second}, {"3000", false, 4500 * Millisecond}, {"3000", true, 750 * Millisecond}} {
+		w, worst := newWorld(1, terms("list.every="+c.every)), Time(0)
+		w.decide()
+		for range 40 {
+			w.g.ListFailed(w.now, c.silent)
+			at := w.now
+			for w.pass(10 * Millisecond); !w.g.last.Watch; w.pass(10 * Millisecond) {
+			}
+			worst = max(worst, w.now-at)
+		}
+		if worst > c.most+50*Millisecond || worst < c.most/2 {
+			t.Errorf("%+v: asked again after %d ms at worst", c, worst/Millisecond)
+		}
+	}
+}
--- a/decide/jobs.go
+++ b/decide/jobs.go
@@ -8,14 +8,14 @@
 // Take takes a job. The caller has filled its ID, Units, Shard, Key, Write and StopBy.
 func (g *Gateway) Take(now Time, j *Job, volume int64, plan, product string, hosts float64, keyed bool) {
 	g.now = now
+	left := j.StopBy - now
 	if j.Product = g.products[product]; j.Product == nil {
-		j.Product = &Product{Name: product, Kind: SingleUse, Goal: j.StopBy - now, Patience: j.StopBy - now}
+		j.Product = &Product{Name: product, Kind: SingleUse, Goal: left, Patience: left, Out: g.agreed}
 		g.products[product] = j.Product
 	}
 	j.Volume, j.Taken = g.volume(volume, plan, hosts), now
 	p := j.Product
 	// Time counts from a client's first try. A try with less left than the longest yet seen is a later one.
-	left := j.StopBy - now
 	p.Share = max(p.Share, min(1, float64(left)/float64(max(p.Patience, 1))))
 	j.GoalBy = now + p.Goal - max(0, Time(p.Share*float64(p.Patience))-left)
 	g.jobs[j.ID] = j
@@ -39,7 +39,7 @@
 	if v == nil {
 		p := g.plans[plan]
 		if p == nil {
-			p = &Plan{Name: plan, Weight: 1}
+			p = &Plan{Name: plan, Weight: 1, Out: g.agreed}
 			g.plans[plan] = p
 		}
 		v = &Volume{Plan: p}
@@ -149,6 +149,9 @@
 
 // mayRun tells whether an execution at n can be added without a second effect, a copy or a try too many.
 func (g *Gateway) mayRun(j *Job, n *Node) bool {
+	if j.barred() {
+		return false
+	}
 	for _, e := range j.Execs {
 		if e.Outcome == Out && !g.terms.flag("second_copies") {
 			return false
--- a/decide/nodes.go
+++ b/decide/nodes.go
@@ -1,6 +1,9 @@
 package decide
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // Listing opens what the list says: whole means that a node it leaves out is gone, stale that it may be old.
 func (g *Gateway) Listing(now Time, whole, stale bool) {
@@ -19,7 +22,7 @@
 	if born > n.Born { // new, or started anew: what was learned is void, what is out still gets its outcome
 		n.Born, n.Known, n.Suspect, n.Units, n.Busy, n.Latency, n.Failing = born, false, false, 0, 0, 0, 0
 		n.Credits, n.Answers, n.Fair, n.Part, n.TryAt = creditsEach, n.Answers[:0], 1, boundAims, 0
-		n.Warm = Store{At: g.now}
+		n.Warm, n.LentTill = Store{At: g.now}, 0
 	}
 	n.Zone, n.Shard, n.seen = zone, shard, g.epoch
 	g.stand(n, standing)
@@ -33,19 +36,45 @@
 		}
 	}
 	if !g.stale {
-		g.listAt, g.listWait = 0, listWait
+		g.listAt, g.listWait, g.heardAt = 0, listWait, g.now
+		g.mode(&g.silent, false, "the list is silent: %%t")
 	}
 }
 
-// ListFailed tells that a list call failed, which does not say whether a watch still stands. It is asked anew
-// after a wait that doubles, spread so that the gateways do not come back at one moment.
-func (g *Gateway) ListFailed(now Time) {
+// ListFailed tells that a list call failed, silent that it did without a word. It is asked anew after a wait
+// that doubles, short while it is silent, and is spread so that not all gateways come back at one moment.
+func (g *Gateway) ListFailed(now Time, silent bool) {
 	g.now = now
+	g.mode(&g.silent, g.silent || silent, "the list is silent: %%t, %d ms by now", (now-g.heardAt)/Millisecond)
 	if g.terms["discovery"] == "ask" {
 		g.listAt = now + Time(float64(g.listWait)*(0.5+g.chance.part()))
 		g.log("the list does not answer, asked again in %d ms", (g.listAt-now)/Millisecond)
-		g.listWait = min(2*g.listWait, listWaitMost)
+		g.listWait = min(2*g.listWait, listWaitMost, cmp.Or(g.terms.span("list.every"), listWaitMost))
+		if g.silent {
+			g.listWait = min(g.listWait, 2*listWait)
+		}
+	}
+}
+
+// unheard tells that the list has been silent for so long that what it missed counts as told.
+func (g *Gateway) unheard(grace Time) bool { return g.silent && g.now-g.heardAt >= silenceMost+grace }
+
+// born is when a node may have started last: any may have since the last word. It hurts where none has.
+func (g *Gateway) born(n *Node) Time {
+	if !g.unheard(0) {
+		return n.Born
+	}
+	return max(n.Born, g.heardAt)
+}
+
+// open tells whether a node may be sent to: any may have drained since the last word, but for those that took
+// something within the grace of a drain.
+func (g *Gateway) open(n *Node) bool {
+	if n.Standing != Ready || !g.silent {
+		return n.Standing == Ready
 	}
+	grace := g.terms.span("drain.grace")
+	return !g.unheard(grace) || g.now-n.HeardOf < grace
 }
 
 // stand notes a node's standing. What was queued at a node that goes is placed anew.
--- a/decide/outcomes.go
+++ b/decide/outcomes.go
@@ -35,7 +35,9 @@
 	n.Execs++
 	n.Out += j.Units
 	if g.cold(n) {
-		if !j.Answered && j.Borne != Passed {
+		if g.now < n.LentTill {
+			n.Lent, e.Till = n.Lent-j.Units, n.LentTill
+		} else if !j.Answered && j.Borne != Passed {
 			n.Warm.take(j.Units)
 		}
 		j.Cold, j.Borne = Undrawn, Undrawn
--- a/decide/text.go
+++ b/decide/text.go
@@ -5,7 +5,7 @@
 	"io/fs"
 )
 
-//go:embed decide.go jobs.go turns.go outcomes.go nodes.go cold.go
+//go:embed decide.go jobs.go turns.go outcomes.go nodes.go cold.go terms.go
 var texts embed.FS
 
 // Text is the module's source, by which a capture says what decided in it: its files in order of their names.
--- a/decide/turns.go
+++ b/decide/turns.go
@@ -21,6 +21,10 @@
 
 // place queues a held job at a node, or gives it up where it cannot make its goal.
 func (g *Gateway) place(j *Job) bool {
+	if j.barred() {
+		g.giveUp(j)
+		return true
+	}
 	if j.NotTill > g.now || j.Line != nil && (j.Line.Jobs[0] != j || j.Line.RestUntil > g.now) {
 		return false
 	}
@@ -61,7 +65,7 @@
 func (g *Gateway) home(j *Job) (best *Node) {
 	least := math.Inf(1)
 	for _, n := range g.nodes {
-		if n.Standing != Ready || !g.mayRun(j, n) {
+		if !g.open(n) || !g.mayRun(j, n) {
 			continue
 		}
 		if j.Shard >= 0 {
@@ -98,7 +102,8 @@
 // mayGo tells whether a job can go to the node that it is queued at.
 func (g *Gateway) mayGo(n *Node, j *Job) bool {
 	full := n.Execs > 0 && n.Out+j.Units > g.bound(n) && (n.Execs > 1 || !g.light(n))
-	return g.now >= n.TryAt && (n.Suspect || !full) && (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
+	may := g.open(n) && g.now >= n.TryAt && (n.Suspect || !full)
+	return may && (g.reserved(j) || g.fair(n, j)) && g.bears(n, j)
 }
 
 // serve sends what a node may be sent.
--- a/decide/types.go
+++ b/decide/types.go
@@ -1,6 +1,10 @@
 package decide
 
-import "slices"
+import (
+	"fmt"
+	"math"
+	"slices"
+)
 
 // Time is a point on the gateway's clock, or a span of it, in whole nanoseconds.
 type Time = int64
@@ -84,6 +88,7 @@
 	Leaving      float64 // share of its clients that leave before the goal, lately
 	Leaves       float64 // and after what part of the goal time they do
 	Hurried      bool    // the mode last logged
+	Out          bool    // left out of the terms that count now
 }
 
 // Product is a kind of job.
@@ -96,6 +101,7 @@
 	Window   Time    // how long repeats of a referenced job are known
 	InTurn   bool    // jobs of one key run one at a time
 	Share    float64 // longest time to the hard stop yet seen, as a part of Patience
+	Out      bool    // left out of the terms that count now
 }
 
 // Volume is what a customer reads and writes. Its dues count over all gateways and nodes.
@@ -190,6 +196,7 @@
 	Node      *Node
 	Sent      Time
 	Limit     Time // time-out; 0 for none before the client gives up
+	Till      Time // it is not to be sent after this; 0: no such time
 	Outcome   Outcome
 	CalledOff bool
 	Late      bool // out for over an aim, and noted
@@ -259,8 +266,10 @@
 	Fails     bool
 	TryAt     Time
 	CreditAt  Time
-	Sends     Tally // what was sent to it while cold
-	Answers   Tally // and what it answered
+	Sends     Tally   // what was sent to it while cold
+	Answers   Tally   // and what it answered
+	Lent      float64 // units that its dealer has lent this gateway
+	LentTill  Time    // and until when what is lent, be it nothing, is all that goes there while it is cold
 	touched   bool
 	seen      int // the listing that named it last
 	flowIndex map[*Volume]*Flow
@@ -302,6 +311,7 @@
 	now      Time
 	began    Time
 	terms    Terms
+	agreed   bool // the terms are not those of the start
 	chance   chance
 	plans    map[string]*Plan
 	products map[string]*Product
@@ -322,9 +332,60 @@
 	epoch    int
 	vain     float64 // share of overdue executions that had no answer, lately
 	loses    bool    // the mode last logged
+	heardAt  Time    // the list's last word, or the start
+	silent   bool    // the list has fallen silent since, the mode last logged
 	listAt   Time    // when to ask the list again; 0 for no need
 	listWait Time
 	roundAt  Time
 	next     *Decision
 	last     *Decision
 }
+
+// Probed tells how a probe ended.
+func (g *Gateway) Probed(now Time, addr string, o Outcome, took Time) { g.now = now }
+
+// barred tells whether a job's plan or product has been left out.
+func (j *Job) barred() bool { return j.Product.Out || j.Volume.Plan.Out }
+
+// Want is work that waits at a node that has started lately, for who deals out what it bears.
+type Want struct {
+	Addr  string
+	Born  Time
+	Units float64
+	Least float64 // units of the smallest job
+	Worth float64 // of the plan with the highest weight
+}
+
+// Wants lists what waits at cold nodes that may be sent to, and the rate that is known of the others, in units a second.
+func (g *Gateway) Wants(now Time) (list []Want, rate float64) {
+	g.now = now
+	for _, n := range g.nodes {
+		w := Want{Addr: n.Addr, Born: n.Born, Least: math.Inf(1)}
+		if n.Standing != Ready || !g.cold(n) {
+			continue
+		}
+		for _, f := range n.Flows {
+			for _, j := range f.Queue {
+				w.Units, w.Least, w.Worth = w.Units+j.Units, min(w.Least, j.Units), max(w.Worth, f.Volume.Plan.Weight)
+			}
+		}
+		list = append(list, w)
+	}
+	rate = g.meanRate() // of busy time that others share; a node does one job at a time at least, in its best time
+	if base := g.over(func(n *Node) float64 { return n.Base }); base > 0 {
+		rate = max(rate, g.mean/base*float64(Second))
+	}
+	return list, rate
+}
+
+// mode logs a change of mode, with what caused it.
+func (g *Gateway) mode(was *bool, is bool, format string, args ...any) {
+	if *was != is {
+		*was = is
+		g.log(fmt.Sprintf(format, args...), is)
+	}
+}
+
+func (g *Gateway) log(format string, args ...any) {
+	g.next.Log = append(g.next.Log, fmt.Sprintf(format, args...))
+}
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -15,7 +15,9 @@
 type Tap interface {
 	Start(now decide.Time, seed uint64, terms decide.Terms)
 	ListedPart(now decide.Time, l listing.List, whole bool)
-	ListFailed(now decide.Time)
+	ListFailed(now decide.Time, silent bool)
+	Agreed(now decide.Time, terms decide.Terms)
+	Lent(now decide.Time, addr string, born decide.Time, units float64, till decide.Time)
 	Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool)
 	Begun(now decide.Time, job string, number int)
 	Ended(now decide.Time, job string, number int, o decide.Outcome, took decide.Time, final bool, others float64, inflight int,
@@ -89,7 +91,7 @@
 		switch name := string(f.Bytes("message")); name {
 		case "EOF_BATCH":
 			return nil
-		case "INIT", "DOWN", "BACKENDS_CHANGED", "REQ", "ACCEPTED", "ANSWER", "WITHDRAWN", "RING", "ECHO", "PEER":
+		case "INIT", "DOWN", "BACKENDS_CHANGED", "REQ", "ACCEPTED", "ANSWER", "WITHDRAWN", "RING", "ECHO", "PEER", "AGREED", "LENT":
 			line := a.in.Line
 			number := f.Int("gateway_id")
 			if f.Err == nil {
@@ -204,6 +206,23 @@
 		if took := f.Time("rtt_ms"); f.Err == nil {
 			g.Probed(now, node, outcome, took)
 		}
+	case "AGREED": // ours, not the bench's: the terms have changed, as an installation that follows versions tells a gateway
+		terms := wire.Terms(f)
+		if i.tap != nil {
+			i.tap.Agreed(now, terms)
+		}
+		g.Agree(now, terms)
+	case "LENT": // likewise
+		addr := f.Text("node")
+		born := f.Time("born_ms")
+		units := f.Number("quota_units")
+		till := f.Time("till_ms")
+		if f.Err == nil {
+			if i.tap != nil {
+				i.tap.Lent(now, addr, born, units, till)
+			}
+			g.Lend(now, addr, born, units, till)
+		}
 	case "PEER":
 		f.Int("author")
 	}
@@ -260,9 +279,9 @@
 	case g == nil:
 	case mode == "unavailable":
 		if i.tap != nil {
-			i.tap.ListFailed(now)
+			i.tap.ListFailed(now, false)
 		}
-		g.ListFailed(now)
+		g.ListFailed(now, false)
 	default:
 		if told.Stale = mode == "restored"; i.tap != nil {
 			i.tap.ListedPart(now, told, mode != "update")
--- a/internal/adapter/story_test.go
+++ b/internal/adapter/story_test.go
@@ -43,7 +43,13 @@
 	t.add(now, "%s", s)
 }
 
-func (t *trace) ListFailed(now decide.Time) { t.add(now, "list failed") }
+func (t *trace) ListFailed(now decide.Time, silent bool) { t.add(now, "list failed %t", silent) }
+
+func (t *trace) Agreed(now decide.Time, terms decide.Terms) { t.add(now, "agreed %v", terms) }
+
+func (t *trace) Lent(now decide.Time, addr string, born decide.Time, units float64, till decide.Time) {
+	t.add(now, "lent %s of %d %v till %d", addr, born, units, till)
+}
 
 func (t *trace) Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool) {
 	t.add(now, "take %s units=%v shard=%d key=%d write=%t stop=%d volume=%d %s %s %v %t", j.ID, j.Units, j.Shard, j.Key, j.Write, j.StopBy,
@@ -153,6 +159,56 @@
 		"permissions.retry_after=true|permissions.max_retry_after_ms=1000.0|permissions.dial_timeout_ms=250.0|permissions.idle_close_ms=30000.0"
 )
 
+// variants are what may differ in other terms: as the platform writes it, and as the wire does.
+var variants = [][4]string{
+	{`"base_rate":40.0`, `"base_rate":10.0`, "base_rate=40.0", "base_rate=10.0"},
+	{`"name":"read","effect":"read_like"`, `"name":"read","effect":"non_idempotent"`, "lanes.0.effect=read_like", "lanes.0.effect=non_idempotent"},
+	{`"group":"cell"`, `"group":"zone"`, "lanes.1.group=cell", "lanes.1.group=zone"},
+	{`"name":"basic"`, `"name":"silver"`, "contracts.0.name=basic", "contracts.0.name=silver"},
+	{`"name":"read"`, `"name":"fetch"`, "lanes.0.name=read", "lanes.0.name=fetch"},
+	{`"target_ms":300.0`, `"target_ms":200.0`, "target_ms=300.0", "target_ms=200.0"},
+	{`"name":"gold",`, `"name":"gold","never_over":4.0,"burst":9.0,`, "contracts.1.name=gold|", "contracts.1.name=gold|contracts.1.never_over=4.0|contracts.1.burst=9.0|"},
+}
+
+// changes are what the loop is to act on next.
+type changes struct{ next atomic.Pointer[gateway.Acts] }
+
+func (c *changes) At(decide.Time) (*gateway.Acts, decide.Time) { return c.next.Swap(nil), 0 }
+
+// change has both act on other terms, and on a list with them.
+func (s *story) change() {
+	ours, wires := nested, pairs
+	for i, v := range variants {
+		if rapid.Bool().Draw(s.t, fmt.Sprint("variant ", i)) {
+			ours, wires = strings.ReplaceAll(ours, v[0], v[1]), strings.ReplaceAll(wires, v[2], v[3])
+		}
+	}
+	conf, err := platform.Parse([]byte(ours), func(string) string { return "" })
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	l, text := s.draw(true)
+	s.changes.next.Store(&gateway.Acts{List: l, Terms: conf.Terms})
+	agreed := ""
+	if wires != s.acts { // what has not changed is not told
+		agreed, s.acts = "AGREED|3|"+wires+"\n", wires
+	}
+	s.loop.Wake()
+	for s.changes.next.Load() != nil {
+		s.loop.Figures() // a turn
+	}
+	s.say("%sBACKENDS_CHANGED|3|replace|2|%d%s", agreed, len(l.Nodes), text)
+}
+
+// lend lends something for a node, of the start that was told or of another.
+func (s *story) lend() {
+	addr := fmt.Sprintf("10.0.0.%d:5", rapid.IntRange(0, 4).Draw(s.t, "node"))
+	born := rapid.SampledFrom([]decide.Time{s.born[addr], s.clock.Now()}).Draw(s.t, "start")
+	units, till := float64(rapid.IntRange(0, 20).Draw(s.t, "units")), s.clock.Now()+1e6*decide.Time(rapid.IntRange(0, 400).Draw(s.t, "till"))
+	s.loop.Lend(addr, born, units, till)
+	s.say("LENT|3|%s|%s|%v|%s", addr, at(born), units, at(till))
+}
+
 // story is told to a gateway's loop as it happens, and written down as the bench would tell it.
 type story struct {
 	t     *rapid.T
@@ -160,7 +216,10 @@
 	nodes *nodes
 	loop  *gateway.Loop
 	wire  bytes.Buffer
-	jobs  map[string]*asked // by the name that the loop gives them
+	jobs  map[string]*asked      // by the name that the loop gives them
+	born  map[string]decide.Time // as was told last
+	acts  string                 // the terms that both act on, as the wire has them
+	changes
 	count int
 }
 
@@ -280,19 +339,24 @@
 
 func (s *story) list() {
 	whole := rapid.Bool().Draw(s.t, "whole")
-	l := listing.List{Part: !whole}
-	mode := map[bool]string{true: "replace", false: "update"}[whole]
-	text := ""
+	l, text := s.draw(whole)
+	s.loop.List(l)
+	s.say("BACKENDS_CHANGED|3|%s|2|%d%s", map[bool]string{true: "replace", false: "update"}[whole], len(l.Nodes), text)
+}
+
+// draw makes a list, and its entries on the wire.
+func (s *story) draw(whole bool) (l listing.List, text string) {
+	l.Part = !whole
 	for i := range rapid.IntRange(0, 4).Draw(s.t, "nodes") {
 		n := listing.Node{Addr: fmt.Sprintf("10.0.0.%d:5", i), Zone: "z", Shard: i, Standing: listing.Standing(rapid.IntRange(0, 2).Draw(s.t, "standing"))}
 		if rapid.Bool().Draw(s.t, "new") {
 			n.Born = s.clock.Now()
+			s.born[n.Addr] = n.Born
 		}
 		l.Nodes = append(l.Nodes, n)
 		text += fmt.Sprintf("\nENTRY|1|k|z|%s|%s|%d|%s", n.Addr, at(n.Born), i, []string{"ready", "draining", "gone"}[n.Standing])
 	}
-	s.loop.List(l)
-	s.say("BACKENDS_CHANGED|3|%s|2|%d%s", mode, len(l.Nodes), text)
+	return l, text
 }
 
 // pass lets time go by, up to the next client's end at most: what is out then has timed out, which the bench tells of and the loop
@@ -328,7 +392,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &story{t: t, clock: &clock{}, nodes: &nodes{}, jobs: map[string]*asked{}}
+		s := &story{t: t, clock: &clock{}, nodes: &nodes{}, jobs: map[string]*asked{}, acts: pairs, born: map[string]decide.Time{}}
 		s.clock.now.Store(1_790_000_000_000_000_000)
 		known := listing.List{Stale: true}
 		for i := range 3 {
@@ -341,11 +405,11 @@
 		s.wire.WriteString("EOF_BATCH\n")
 		live := &trace{}
 		s.loop = gateway.Start(gateway.Options{Name: "n1", Seed: conf.Seed, Terms: conf.Terms, Queue: 16, Clock: s.clock, Nodes: s.nodes, Known: &known,
-			Watch: func() {}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Tap: live})
+			Watch: func() {}, Rules: &s.changes, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Tap: live})
 		defer s.loop.Stop()
 		s.say("")
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 11).Draw(t, "step") {
 			case 0, 1, 2:
 				s.take()
 			case 3, 4, 5:
@@ -355,8 +419,12 @@
 			case 7:
 				s.list()
 			case 8:
-				s.loop.ListFailed()
+				s.loop.ListFailed(false) // the bench always says a word
 				s.say("BACKENDS_CHANGED|3|unavailable|0|0")
+			case 10:
+				s.change()
+			case 11:
+				s.lend()
 			default:
 				s.pass()
 			}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -166,6 +166,7 @@
 		c, err := g.StopCapture()
 		answer(w, c, err)
 	})
+	mux.Handle("GET /metrics", metrics(g))
 	s := &Server{http: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, path: path}
 	go s.http.Serve(l)
 	return s, nil
--- a/internal/audit/check.go
+++ b/internal/audit/check.go
@@ -260,48 +260,6 @@
 	return r
 }
 
-// cold: what all gateways send to a node that has just started, in any window, stays under the multiple of what it can
-// do then, or under what it always bears; and none was pushed over.
-func (d *day) cold() Rule {
-	r := Rule{Name: Cold}
-	born := map[string]Event{}
-	type sent struct {
-		at    int64
-		units float64
-	}
-	window := map[string][]sent{}
-	for _, e := range d.events {
-		switch e.What {
-		case Born:
-			born[e.Node], window[e.Node] = e, nil
-			r.Checked++
-		case Fell:
-			r.breaks("%s was pushed over", e.Node)
-		case Got:
-			b, known := born[e.Node]
-			age := e.At - b.At
-			if !known || b.Rate <= 0 || age > d.terms.ColdTime || d.terms.ColdTime == 0 {
-				continue
-			}
-			w := append(window[e.Node], sent{e.At, e.Units})
-			for w[0].at < e.At-d.terms.ColdWindow {
-				w = w[1:]
-			}
-			window[e.Node] = w
-			sum := 0.0
-			for _, s := range w {
-				sum += s.units
-			}
-			can := b.Rate * (d.terms.ColdFrom + (1-d.terms.ColdFrom)*float64(age)/float64(d.terms.ColdTime))
-			most := max(d.terms.ColdMultiple*can*float64(d.terms.ColdWindow)/1e9, d.terms.ColdUnits)
-			if r.Checked++; sum > most {
-				r.breaks("%s gets %.1f units in a window at age %d ms, %.1f are borne", e.Node, sum, age/1e6, most)
-			}
-		}
-	}
-	return r
-}
-
 // order: nothing is sent for a job while an earlier one of its key, taken by the same gateway, is out, nor before the
 // key has rested after one that may still run.
 func (d *day) order() Rule {
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -309,8 +309,24 @@
 	r.add(&Record{Kind: kind, At: now, Stale: l.Stale, Nodes: l.Nodes})
 }
 
-// ListFailed tells that a list could not be had.
-func (r *Recorder) ListFailed(now decide.Time) { r.add(&Record{Kind: ListFailed, At: now}) }
+// ListFailed tells that a list could not be had, silent that nothing at all was heard.
+func (r *Recorder) ListFailed(now decide.Time, silent bool) {
+	kind := ListFailed
+	if silent {
+		kind = ListSilent
+	}
+	r.add(&Record{Kind: kind, At: now})
+}
+
+// Agreed tells of other terms.
+func (r *Recorder) Agreed(now decide.Time, t decide.Terms) {
+	r.add(&Record{Kind: Agreed, At: now, Terms: t})
+}
+
+// Lent tells of a loan for a cold node.
+func (r *Recorder) Lent(now decide.Time, addr string, born decide.Time, units float64, till decide.Time) {
+	r.add(&Record{Kind: Lent, At: now, Node: addr, Born: born, Units: units, Till: till})
+}
 
 // Begun tells that an execution's answer has begun to flow.
 func (r *Recorder) Begun(now decide.Time, job string, number int) {
--- a/internal/capture/format.go
+++ b/internal/capture/format.go
@@ -32,10 +32,13 @@
 	ListedPart                 // a list was told that leaves out what has not changed
 	ListFailed                 // a list could not be had
 	Begun                      // an execution's answer has begun to flow
+	ListSilent                 // a call for the list ended without a word
+	Agreed                     // the module acts on other terms from here on
+	Lent                       // units were lent to it for a cold node
 )
 
 func (k Kind) String() string {
-	names := [...]string{"", "header", "start", "list", "take", "ended", "left", "decided", "gap", "end", "state", "part of a list", "no list", "begun"}
+	names := [...]string{"", "header", "start", "list", "take", "ended", "left", "decided", "gap", "end", "state", "part of a list", "no list", "begun", "silent list", "terms", "loan"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -82,6 +85,10 @@
 	Dropped int // Gap: records
 
 	State string // State: a snapshot of the module
+
+	Node string      // Lent; with Units
+	Born decide.Time // the start of it that is meant
+	Till decide.Time
 }
 
 // Decision is what the module decided, by names.
@@ -227,6 +234,13 @@
 	case Start:
 		c.number(&r.Seed)
 		c.terms(&r.Terms)
+	case Lent:
+		c.text(&r.Node)
+		c.signed(&r.Born)
+		c.float(&r.Units)
+		c.signed(&r.Till)
+	case Agreed:
+		c.terms(&r.Terms)
 	case Listed, ListedPart:
 		c.flag(&r.Stale)
 		list(c, &r.Nodes, func(n *listing.Node) {
@@ -272,7 +286,7 @@
 		c.text(&r.Name)
 	case State:
 		c.text(&r.State)
-	case ListFailed:
+	case ListFailed, ListSilent:
 	case Begun:
 		c.text(&r.Job)
 		c.count(&r.Number)
--- a/internal/capture/redact.go
+++ b/internal/capture/redact.go
@@ -66,7 +66,7 @@
 	case Header:
 		r.gateway = rec.Name
 		r.name(&rec.Name)
-	case Start:
+	case Start, Agreed:
 		t := decide.Terms{}
 		for key, v := range rec.Terms {
 			if strings.HasSuffix(key, ".name") {
@@ -80,6 +80,8 @@
 			r.name(&rec.Nodes[i].Addr)
 			r.name(&rec.Nodes[i].Zone)
 		}
+	case Lent:
+		r.name(&rec.Node)
 	case Take:
 		r.name(&rec.Plan)
 		r.name(&rec.Product)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -107,7 +107,7 @@
 	files, _ := filepath.Glob("../../examples/*.hcl")
 	checked := 0
 	for _, f := range files {
-		if name := filepath.Base(f); strings.HasPrefix(name, "day") || strings.HasPrefix(name, "fleet-agree") { // checked as days
+		if name := filepath.Base(f); strings.HasPrefix(name, "day") || strings.HasPrefix(name, "fleet-") { // checked as days
 			continue
 		}
 		checked++
--- /dev/null
+++ b/internal/config/sources.go
@@ -0,0 +1,184 @@
+package config
+
+import (
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/zclconf/go-cty/cty"
+
+	"irispost/internal/iscsi/negotiate"
+	"irispost/internal/iscsi/target"
+	"irispost/internal/layout"
+	"irispost/internal/members"
+	"irispost/internal/xds"
+)
+
+// sources reads where the list comes from: the one file of the gateway block, or the source blocks in their order.
+func (r *reader) sources(f *fileForm, g *Gateway) {
+	nodes := r.text(f.Gateway.Nodes, "")
+	switch {
+	case f.Follow != nil:
+		b := f.Follow
+		g.Follow = &Follow{Keepers: b.Keepers, Pause: r.span(b.Pause, 10*time.Millisecond, time.Minute, 500*time.Millisecond), Record: r.text(b.Record, ""),
+			Peer: r.text(b.Peer, ""), Reach: r.texts(b.Reach)}
+		if nodes != "" || len(f.Sources) > 0 {
+			r.refuse(b.Range, "Two lists of nodes", "A gateway that follows has its list from the version in force, so it has no source and no nodes.")
+		}
+		if len(b.Keepers) == 0 {
+			r.refuse(b.Range, "No keepers", "Name the keepers' addresses: keepers = [\"10.0.0.1:7100\", ...].")
+		}
+		for _, k := range b.Keepers {
+			if _, _, err := net.SplitHostPort(k); err != nil {
+				r.refuse(b.Range, "Not an address", "%q is no host with a port.", k)
+			}
+		}
+	case nodes != "" && len(f.Sources) > 0:
+		r.refuse(f.Gateway.Nodes.Range(), "Two ways to name sources", "Where there are source blocks, the list's file is one of them: source \"own\" \"NAME\" { file = %q }.", nodes)
+	case nodes != "":
+		g.Sources = []Source{{Name: "nodes", Kind: "own", File: nodes}}
+	case len(f.Sources) == 0:
+		r.refuse(f.Gateway.Range, "No list of nodes", "Name its file with nodes = \"nodes.hcl\", or write a source block.")
+	}
+	names := map[string]bool{}
+	for _, b := range f.Sources {
+		if names[b.Name] || b.Name == "" || strings.ContainsAny(b.Name, "/ ") {
+			r.refuse(b.Range, "Bad name", "A source's name is its own, is not empty and has no space or slash.")
+		}
+		names[b.Name] = true
+		g.Sources = append(g.Sources, r.source(&b, g))
+	}
+}
+
+// source reads a source block. What its kind does not have is refused.
+func (r *reader) source(b *sourceForm, g *Gateway) Source {
+	s := Source{Name: b.Name, Kind: b.Kind}
+	parts := []struct {
+		name  string
+		value hcl.Expression
+		kinds string
+		needs bool
+	}{
+		{"file", b.File, "own", true}, {"clusters", b.Clusters, "xds-file", true}, {"endpoints", b.Endpoints, "xds-file", true},
+		{"address", b.Address, "xds", true}, {"form", b.Form, "xds", false}, {"node", b.Node, "xds", false}, {"fleet", b.Fleet, "xds", false},
+		{"zone", b.Zone, "xds", false}, {"wanted", b.Wanted, "xds", false}, {"fetch", b.Fetch, "xds", false}, {"pause", b.Least, "xds", false},
+		{"pause_most", b.Most, "xds", false}, {"message", b.Message, "xds", false},
+	}
+	if b.Kind != "own" && b.Kind != "xds" && b.Kind != "xds-file" {
+		r.refuse(b.Range, "No such kind", "A source is \"own\" (a file in our own form), \"xds-file\" (files in xDS form) or \"xds\" (a management server), not %q.", b.Kind)
+		return s
+	}
+	for _, p := range parts {
+		_, there := r.value(p.value)
+		if there && p.kinds != b.Kind {
+			r.refuse(p.value.Range(), "Not of this kind", "A source of kind %q has no %s.", b.Kind, p.name)
+		}
+		if !there && p.kinds == b.Kind && p.needs {
+			r.refuse(b.Range, "Something is missing", "A source of kind %q needs %s.", b.Kind, p.name)
+		}
+	}
+	s.File, s.Clusters, s.Endpoints = r.text(b.File, ""), r.text(b.Clusters, ""), r.text(b.Endpoints, "")
+	if b.Kind != "xds" {
+		return s
+	}
+	form := r.text(b.Form, "delta")
+	if form != "delta" && form != "whole" {
+		r.refuse(b.Form.Range(), "No such form", "The protocol has the forms \"delta\" and \"whole\" (state of the world), not %q.", form)
+	}
+	s.XDS = xds.Options{Address: r.text(b.Address, ""), Incremental: form == "delta", Node: r.text(b.Node, g.Name), Fleet: r.text(b.Fleet, "irispost"),
+		Zone: r.text(b.Zone, ""), Fetch: r.span(b.Fetch, time.Millisecond, time.Hour, xds.DefaultFetch),
+		Least: r.span(b.Least, time.Millisecond, time.Hour, xds.DefaultLeast), Most: r.span(b.Most, time.Millisecond, time.Hour, xds.DefaultMost),
+		Message: int(r.size(b.Message, 64<<10, 1<<30, xds.DefaultMessage))}
+	if s.XDS.Most < s.XDS.Least {
+		r.refuse(b.Range, "Pauses the wrong way round", "pause_most %v is under pause %v.", s.XDS.Most, s.XDS.Least)
+	}
+	if _, _, err := net.SplitHostPort(s.XDS.Address); err != nil && s.XDS.Address != "" {
+		r.refuse(b.Address.Range(), "Not an address", "%q is no host with a port.", s.XDS.Address)
+	}
+	if v, there := r.value(b.Wanted); there {
+		if !v.CanIterateElements() {
+			r.refuse(b.Wanted.Range(), "Not a list", "The names of clusters are expected here: [\"storage\"].")
+			return s
+		}
+		for it := v.ElementIterator(); it.Next(); {
+			if _, name := it.Element(); name.Type() == cty.String && name.AsString() != "" {
+				s.XDS.Clusters = append(s.XDS.Clusters, name.AsString())
+			} else {
+				r.refuse(b.Wanted.Range(), "Not a name", "A cluster's name is a text.")
+			}
+		}
+	}
+	return s
+}
+
+func (r *reader) members(b *membersForm, g *Gateway) {
+	if b == nil {
+		b = &membersForm{}
+	}
+	d := members.DefaultTerms
+	span := func(e hcl.Expression, otherwise members.Time) members.Time {
+		return int64(r.span(e, 0, 24*time.Hour, time.Duration(otherwise)))
+	}
+	g.Members = members.Terms{Shrink: r.number(b.Shrink, 0, 1, d.Shrink), Hold: span(b.Hold, d.Hold), Grace: span(b.Grace, d.Grace),
+		Flaps: r.count(b.Flaps, 0, 1000, d.Flaps), FlapWindow: span(b.FlapWindow, d.FlapWindow), Rest: span(b.Rest, d.Rest),
+		Silent: span(b.Silent, d.Silent), Forget: span(b.Forget, d.Forget)}
+	g.Folder = r.text(b.Folder, "")
+	g.First = r.span(b.First, 0, time.Hour, 5*time.Second)
+}
+
+// disks reads targets and their units.
+func (r *reader) disks(b *disksForm, g *Gateway) {
+	if b == nil {
+		return
+	}
+	d := &Disks{Listen: b.Listen, Limits: target.DefaultLimits}
+	l := &d.Limits
+	l.Connections = r.count(b.Most, 1, 1<<20, l.Connections)
+	l.Login = r.span(b.Login, 100*time.Millisecond, time.Hour, l.Login)
+	l.Pace.Most = r.count(b.Queue, 1, 1<<16, l.Pace.Most)
+	l.Pace.Inside = r.count(b.Inside, 1, 1<<16, l.Pace.Inside)
+	l.Pace.Start = min(l.Pace.Start, l.Pace.Inside)
+	l.Unread = int(r.size(b.Unread, 64<<10, 1<<30, int64(l.Unread)))
+	l.Wire.Unsent = max(l.Wire.Unsent, l.Unread+2*l.Pace.Bytes)
+	files := map[string]string{}
+	for _, f := range b.Targets {
+		t := Target{Name: f.Name, Luns: map[uint16]Lun{}}
+		if !strings.HasPrefix(f.Name, "iqn.") && !strings.HasPrefix(f.Name, "eui.") && !strings.HasPrefix(f.Name, "naa.") || len(f.Name) > 223 {
+			r.refuse(f.Range, "Bad name", "A target's name begins with iqn., eui. or naa. and has up to 223 bytes (RFC 7143, 4.2.7): \"iqn.2026-01.example:disk\".")
+		}
+		if c := f.Chap; c != nil {
+			if len(c.Secret) < 12 || c.Secret == c.OurSecret {
+				r.refuse(c.Range, "Bad secret", "A CHAP secret has at least 12 bytes (RFC 7143, 9.2.1), and each side has its own.")
+			}
+			t.Account = negotiate.Account{Name: c.Name, Secret: c.Secret, OurName: c.OurName, OurSecret: c.OurSecret}
+		}
+		for _, u := range f.Luns {
+			n, err := strconv.ParseUint(u.Number, 10, 14)
+			if _, twice := t.Luns[uint16(n)]; err != nil || twice {
+				r.refuse(u.Range, "Bad number", "A unit's number is its own, from 0 to 16383, not %q.", u.Number)
+			}
+			lun := Lun{File: u.File, Size: uint64(r.size(u.Size, 512, 1<<50, 0)), Block: uint32(r.size(u.Block, 512, 4096, 4096)), Fixed: u.Fixed}
+			if lun.Block != 512 && lun.Block != 4096 {
+				r.refuse(u.Range, "Bad block", "A block has 512 or 4096 bytes, not %d.", lun.Block)
+			} else if lun.Size%uint64(lun.Block) != 0 || lun.Size == 0 {
+				r.refuse(u.Range, "Bad size", "%d bytes are not whole blocks of %d.", lun.Size, lun.Block)
+			}
+			p, err := layout.Parse(u.File)
+			if err != nil || p.Rel == "" || g.Volumes[p.Volume] == nil {
+				r.refuse(u.Range, "No such file", "%q is no file of a volume of this gateway.", u.File)
+			}
+			if other := files[p.String()]; other != "" {
+				r.refuse(u.Range, "File twice", "%s is shown by %s already.", u.File, other)
+			}
+			files[p.String()] = f.Name + " lun " + u.Number
+			t.Luns[uint16(n)] = lun
+		}
+		if len(t.Luns) == 0 {
+			r.refuse(f.Range, "No unit", "A target has at least one lun block.")
+		}
+		d.Targets = append(d.Targets, t)
+	}
+	g.Disks = d
+}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -11,7 +11,7 @@
 
 func TestExamplesAreInOrder(t *testing.T) {
 	files, _ := filepath.Glob("../../examples/day-*.hcl")
-	fleets, _ := filepath.Glob("../../examples/fleet-agree-*.hcl")
+	fleets, _ := filepath.Glob("../../examples/fleet-*.hcl")
 	files = append(files, fleets...)
 	if len(files) < 10 {
 		t.Errorf("%d days found", len(files))
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,6 +30,7 @@
 	Lease   Span
 	Drift   float64
 	Floor   Span // how long a gateway whose lease has run out serves on
+	Peers   bool // gateways reach each other, and deal out what cold nodes bear
 	Changes []ChangePlan
 }
 
@@ -42,6 +42,14 @@
 	Race      int // operators who propose at the same time, each another limit
 }
 
+// rounds is how often a change is made again within a day.
+func (c ChangePlan) rounds(length Span) int {
+	if c.Every <= 0 || c.At > length {
+		return 0
+	}
+	return int((length - c.At) / c.Every)
+}
+
 // fleet is a day's keepers, with the links between all processes.
 type fleet struct {
 	town    *town
@@ -111,6 +119,16 @@
 			f.links[[2]string{a, b}] = l
 		}
 	}
+	if f.plan.Peers {
+		if err := f.reach(from[len(names):], held); err != nil {
+			return err
+		}
+	}
+	for name, l := range held {
+		if name[0] == 'g' {
+			l.Close()
+		}
+	}
 	for _, name := range names {
 		held[name].Close()
 		if err := f.startKeeper(name); err != nil {
@@ -124,11 +142,38 @@
 	return nil
 }
 
+// reach gives each gateway an address for the others, and each pair of them a link.
+func (f *fleet) reach(gateways []string, held map[string]net.Listener) error {
+	for _, name := range gateways {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		f.addrs[name], held[name] = l.Addr().String(), l
+	}
+	for _, a := range gateways {
+		for _, b := range gateways {
+			if a == b {
+				continue
+			}
+			l, err := rig.NewLink(f.addrs[b])
+			if err != nil {
+				return err
+			}
+			f.links[[2]string{a, b}] = l
+		}
+	}
+	return nil
+}
+
 // startKeeper starts a keeper as a process; one that was there before finds its folder again.
 func (f *fleet) startKeeper(name string) error {
 	args := []string{"keeper", "--number", name[1:], "--listen", f.addrs[name], "--dir", filepath.Join(f.town.dir, name),
 		"--lease", f.plan.Lease.String(), "--drift", fmt.Sprint(f.plan.Drift), "--tick", "30ms", "--compact", "100"}
 	for other := range f.addrs {
+		if other[0] != 'k' {
+			continue
+		}
 		addr := f.addrs[other]
 		if l := f.links[[2]string{name, other}]; l != nil {
 			addr = l.Addr()
@@ -173,209 +218,24 @@
 	}
 }
 
-// client speaks to the keepers as an operator: no link is between, as the operators' machine is not part of the day's faults.
-func (f *fleet) client(within time.Duration) *keep.Client {
-	c := &keep.Client{Within: within}
-	for _, addr := range f.addrs {
-		c.Keepers = append(c.Keepers, addr)
-	}
-	return c
-}
-
-// want has the list as it is now, with the limits in force, be proposed. One that was not proposed yet is out of date.
-func (f *fleet) want(l listing.List) {
-	r := rules.Meet(f.base, f.base)
-	for _, n := range l.Nodes {
-		r.Nodes[n.Addr] = rules.Node{Name: n.Name, Zone: n.Zone, Shard: n.Shard, Born: n.Born, Standing: n.Standing, Weight: n.Weight}
-	}
-	f.lock.Lock()
-	for name, limit := range f.limits {
-		p := r.Plans[name]
-		p.Limit = limit
-		r.Plans[name] = p
-	}
-	f.wanted, f.listed = r, l
-	f.lock.Unlock()
-	select {
-	case f.news <- struct{}{}:
-	default:
-	}
-}
-
-// operator proposes what is wanted, until it is in the log.
-func (f *fleet) operator(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.news:
-		}
-		for ctx.Err() == nil {
-			f.lock.Lock()
-			r, l := f.wanted, f.listed
-			f.lock.Unlock()
-			if f.propose(ctx, r, "day", 0) {
-				f.town.announce(l)
-				break
-			}
-		}
-	}
-}
-
-// propose proposes rules against the newest version; false: they are not in the log.
-func (f *fleet) propose(ctx context.Context, r *rules.Rules, author string, parent uint64) bool {
-	c := f.client(5 * time.Second)
-	if parent == 0 {
-		s, err := c.Status()
-		if err != nil {
-			return false
-		}
-		parent = s.Announced
-	}
-	f.lock.Lock()
-	f.count++
-	id := fmt.Sprint("day ", f.count)
-	f.lock.Unlock()
-	for ctx.Err() == nil {
-		v, err := c.Propose(&accord.Proposal{ID: id, Parent: parent, Over: true, Author: author, Why: "the day's script", Rules: r.Canonical()})
-		var refused *keep.RefusedError
-		f.lock.Lock()
-		if err == nil {
-			f.changes++
-		} else if errors.As(err, &refused) {
-			f.refused++
-		}
-		f.lock.Unlock()
-		if err == nil {
-			f.town.opt.Note("version %s is announced", v.Name())
-			return true
-		}
-		if errors.As(err, &refused) {
-			f.town.opt.Note("a proposal is refused: %v", err)
-			return false
-		}
-	}
-	return false
-}
-
-// change makes a change of the script.
-func (f *fleet) change(c ChangePlan, round int) {
-	f.lock.Lock()
-	f.limits[c.Plan] = c.Limit + float64(round)
-	f.lock.Unlock()
-	if c.Race < 2 {
-		f.town.list()
-		return
-	}
-	s, err := f.client(5 * time.Second).Status()
-	if err != nil || s.Newest == nil {
-		return
-	}
-	r, err := s.Newest.Open()
-	if err != nil {
-		return
-	}
-	for i := range c.Race {
-		own := rules.Meet(r, r)
-		p := own.Plans[c.Plan]
-		p.Limit = c.Limit + float64(i)
-		own.Plans[c.Plan] = p
-		f.done.Add(1)
-		go func() {
-			defer f.done.Done()
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
-			f.propose(ctx, own, fmt.Sprintf("operator %d", i+1), s.Announced)
-		}()
-	}
-}
-
-// acts are the steps of a trouble between processes, or with one of them.
-func (f *fleet) acts(tr TroublePlan) []act {
-	end := tr.At + tr.For
-	note := f.town.opt.Note
-	if len(tr.Between) > 0 {
-		fault, _ := rig.ParseFault(tr.Do) // checked when the script was read
-		set := func(to rig.Fault, word string) func() {
-			return func() {
-				note("%s: %s", strings.Join(tr.Between, " - "), word)
-				for pair, l := range f.links {
-					if f.within(pair, tr.Between) {
-						l.Set(to)
-					}
-				}
-			}
-		}
-		return []act{{tr.At, set(fault, tr.Do)}, {end, set(rig.Fault{}, "well")}}
-	}
-	if tr.Do == "stop" {
-		return []act{{tr.At, func() { f.signal(tr.Keeper+tr.Gateway, syscall.SIGSTOP) }}, {end, func() { f.signal(tr.Keeper+tr.Gateway, syscall.SIGCONT) }}}
-	}
-	var names []string
-	for name := range f.addrs {
-		if tr.Keeper == name || tr.Keeper == "all" {
-			names = append(names, name)
-		}
-	}
-	return []act{{tr.At, func() {
-		for _, name := range names {
-			note("%s is killed", name)
-			f.lock.Lock()
-			cmd := f.keepers[name]
-			delete(f.keepers, name)
-			f.lock.Unlock()
-			cmd.Process.Kill()
-			cmd.Wait()
-		}
-	}}, {end, func() {
-		for _, name := range names {
-			note("%s starts again", name)
-			if err := f.startKeeper(name); err != nil {
-				note("%v", err)
-			}
-		}
-	}}}
-}
-
-// within tells whether a link lies between the two sides of a trouble. A side is names with commas between.
-func (f *fleet) within(pair [2]string, sides []string) bool {
-	on := func(name, side string) bool { return slices.Contains(strings.Split(side, ","), name) }
-	return on(pair[0], sides[0]) && on(pair[1], sides[1]) || on(pair[0], sides[1]) && on(pair[1], sides[0])
-}
-
-func (f *fleet) signal(name string, s syscall.Signal) {
-	f.town.opt.Note("%s: %v", name, s)
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	if cmd := f.keepers[name]; cmd != nil {
-		cmd.Process.Signal(s)
-		return
-	}
-	for _, h := range f.town.hosts {
-		if h.name == name {
-			h.lock.Lock()
-			if h.out != nil {
-				if s == syscall.SIGSTOP {
-					f.town.record.Add(audit.Event{What: audit.Stood, Gateway: name})
-				}
-				h.out.Process.Signal(s)
-				if s == syscall.SIGCONT {
-					f.town.record.Add(audit.Event{What: audit.WentOn, Gateway: name})
-				}
-			}
-			h.lock.Unlock()
-		}
-	}
-}
-
 // configure has a gateway's configuration follow the keepers, each at the address of their pair.
 func (f *fleet) configure(h *host, text string) string {
 	var list []string
 	for i := range f.plan.Keepers {
 		list = append(list, fmt.Sprintf("%q", f.links[[2]string{h.name, fmt.Sprintf("k%d", i+1)}].Addr()))
 	}
-	return nodesLine.ReplaceAllString(text, "") + fmt.Sprintf("\nfollow {\n  keepers = [%s]\n  pause = %q\n  record = %q\n}\n",
-		strings.Join(list, ", "), (f.plan.Lease/5).String(), f.record(h))
+	more := ""
+	if f.plan.Peers {
+		more = fmt.Sprintf("  peer = %q\n  reach = {\n", f.addrs[h.name])
+		for pair, l := range f.links {
+			if pair[0] == h.name && pair[1][0] == 'g' {
+				more += fmt.Sprintf("    %q = %q\n", f.addrs[pair[1]], l.Addr())
+			}
+		}
+		more += "  }\n"
+	}
+	return nodesLine.ReplaceAllString(text, "") + fmt.Sprintf("\nfollow {\n  keepers = [%s]\n  pause = %q\n  record = %q\n%s}\n",
+		strings.Join(list, ", "), (f.plan.Lease/5).String(), f.record(h), more)
 }
 
 func (f *fleet) record(h *host) string { return filepath.Join(f.town.dir, h.name+".acts") }
--- /dev/null
+++ b/internal/day/operator.go
@@ -0,0 +1,132 @@
+package day
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"irispost/internal/fleet/accord"
+	"irispost/internal/fleet/keep"
+	"irispost/internal/fleet/rules"
+	"irispost/internal/listing"
+)
+
+// client speaks to the keepers as an operator: no link is between, as the operators' machine is not part of the day's faults.
+func (f *fleet) client(within time.Duration) *keep.Client {
+	c := &keep.Client{Within: within}
+	for name, addr := range f.addrs {
+		if name[0] == 'k' {
+			c.Keepers = append(c.Keepers, addr)
+		}
+	}
+	return c
+}
+
+// want has the list as it is now, with the limits in force, be proposed. One that was not proposed yet is out of date.
+func (f *fleet) want(l listing.List) {
+	r := rules.Meet(f.base, f.base)
+	for _, n := range l.Nodes {
+		r.Nodes[n.Addr] = rules.Node{Name: n.Name, Zone: n.Zone, Shard: n.Shard, Born: n.Born, Standing: n.Standing, Weight: n.Weight}
+	}
+	f.lock.Lock()
+	for name, limit := range f.limits {
+		p := r.Plans[name]
+		p.Limit = limit
+		r.Plans[name] = p
+	}
+	f.wanted, f.listed = r, l
+	f.lock.Unlock()
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// operator proposes what is wanted, until it is in the log.
+func (f *fleet) operator(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.news:
+		}
+		for ctx.Err() == nil {
+			f.lock.Lock()
+			r, l := f.wanted, f.listed
+			f.lock.Unlock()
+			if f.propose(ctx, r, "day", 0) {
+				f.town.announce(l)
+				break
+			}
+		}
+	}
+}
+
+// propose proposes rules against the newest version; false: they are not in the log.
+func (f *fleet) propose(ctx context.Context, r *rules.Rules, author string, parent uint64) bool {
+	c := f.client(5 * time.Second)
+	if parent == 0 {
+		s, err := c.Status()
+		if err != nil {
+			return false
+		}
+		parent = s.Announced
+	}
+	f.lock.Lock()
+	f.count++
+	id := fmt.Sprint("day ", f.count)
+	f.lock.Unlock()
+	for ctx.Err() == nil {
+		v, err := c.Propose(&accord.Proposal{ID: id, Parent: parent, Over: true, Author: author, Why: "the day's script", Rules: r.Canonical()})
+		var refused *keep.RefusedError
+		f.lock.Lock()
+		if err == nil {
+			f.changes++
+		} else if errors.As(err, &refused) {
+			f.refused++
+		}
+		f.lock.Unlock()
+		if err == nil {
+			f.town.opt.Note("version %s is announced", v.Name())
+			return true
+		}
+		if errors.As(err, &refused) {
+			f.town.opt.Note("a proposal is refused: %v", err)
+			return false
+		}
+	}
+	return false
+}
+
+// change makes a change of the script.
+func (f *fleet) change(c ChangePlan, round int) {
+	f.lock.Lock()
+	f.limits[c.Plan] = c.Limit + float64(round)
+	f.lock.Unlock()
+	if c.Race < 2 {
+		f.town.list()
+		return
+	}
+	s, err := f.client(5 * time.Second).Status()
+	if err != nil || s.Newest == nil {
+		return
+	}
+	r, err := s.Newest.Open()
+	if err != nil {
+		return
+	}
+	for i := range c.Race {
+		own := rules.Meet(r, r)
+		p := own.Plans[c.Plan]
+		p.Limit = c.Limit + float64(i)
+		own.Plans[c.Plan] = p
+		f.done.Add(1)
+		go func() {
+			defer f.done.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			f.propose(ctx, own, fmt.Sprintf("operator %d", i+1), s.Announced)
+		}()
+	}
+}
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -1,25 +1,17 @@
 package day
 
 import (
-	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"regexp"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"irispost/internal/audit"
 	"irispost/internal/config"
 	"irispost/internal/fleet/rig"
@@ -40,6 +32,7 @@
 	TornReads int64          `json:"torn_reads"`
 	Rules     []audit.Rule   `json:"rules"`
 	Agreement *rig.Agreement `json:"agreement,omitempty"` // of a day with keepers
+	Cold      audit.Coldness `json:"cold"`
 }
 
 // Good tells whether rules were checked and none was broken.
@@ -155,6 +148,7 @@
 	events := t.record.Events()
 	report := &Report{Seed: s.Seed, Seconds: int(s.Length / time.Second), Summary: audit.Summarise(events),
 		Requests: totals.requests, TornReads: totals.torn.Load(), Rules: audit.Check(events, t.terms())}
+	report.Cold = audit.ColdNodes(events, t.terms())
 	if t.fleet != nil {
 		if report.Agreement, err = t.fleet.agreement(); err != nil {
 			return nil, err
@@ -172,240 +166,20 @@
 	if f := t.fleet; f != nil { // a gateway that is cut off learns of a drain by its lease's end, or its floor's
 		terms.ListDelay = f.stated() + int64(f.plan.Floor) + int64(listDelay)
 	}
-	for id, c := range t.conf.Caps {
-		terms.Limits[id] = audit.Limit(c)
+	plans := map[int64]string{}
+	for _, v := range t.conf.Volumes {
+		plans[v.ID] = v.Plan
 	}
-	return terms
-}
-
-// open starts nodes and gateways.
-func (t *town) open() error {
-	stores := map[int]*standin.Store{}
-	for _, n := range t.script.Nodes {
-		if stores[n.Shard] == nil {
-			store, err := standin.NewStore("")
-			if err != nil {
-				return err
+	for id, c := range t.conf.Caps {
+		limit := audit.Limit(c)
+		for _, change := range t.script.Fleet.Changes { // gateways act on limits by versions: the highest that there ever was is what is sure
+			if change.Plan == plans[id] {
+				limit.Rate = max(limit.Rate, change.Limit+float64(max(change.Race-1, 0)+change.rounds(t.script.Length)))
 			}
-			stores[n.Shard] = store
-		}
-		p := &place{plan: n, store: stores[n.Shard]}
-		t.nodes[n.Name] = p
-		if err := t.startNode(p, false); err != nil {
-			return err
-		}
-	}
-	switch t.opt.List {
-	case "", "own":
-	case "delta", "whole":
-		plane, err := xdsstandin.Start("127.0.0.1:0", 2)
-		if err != nil {
-			return err
-		}
-		t.plane = plane
-	default:
-		return fmt.Errorf("a list comes from own, delta or whole, not %q", t.opt.List)
-	}
-	if t.script.Fleet.Keepers > 0 {
-		if err := t.openFleet(); err != nil {
-			return err
-		}
-	}
-	if err := t.list(); err != nil {
-		return err
-	}
-	for i := range t.script.Gateways {
-		h := &host{name: fmt.Sprintf("g%d", i+1)}
-		h.file = filepath.Join(t.dir, h.name+".hcl")
-		t.hosts = append(t.hosts, h)
-		if err := t.startGateway(h); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (t *town) close() {
-	for _, h := range t.hosts {
-		h.stop()
-	}
-	if t.fleet != nil {
-		t.fleet.close()
-	}
-	if t.plane != nil {
-		t.plane.Close()
-	}
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	for _, p := range t.nodes {
-		if p.node != nil {
-			p.node.Close()
-		}
-	}
-}
-
-// startNode starts a node of the script; cold, with the figures of the rule on cold nodes.
-func (t *town) startNode(p *place, cold bool) error {
-	terms := t.terms()
-	n, err := standin.Start(standin.Options{Addr: "127.0.0.1:0", Zone: p.plan.Zone, Shard: p.plan.Shard, Store: p.store,
-		Cores: p.plan.Cores, Unit: p.plan.Unit, Queue: p.plan.Queue, PutOff: p.plan.PutOff,
-		Marks: time.Duration(terms.Window) * 2, Cold: cold, ColdFrom: terms.ColdFrom, ColdTime: time.Duration(terms.ColdTime),
-		Multiple: terms.ColdMultiple, Window: time.Duration(terms.ColdWindow), Bears: terms.ColdUnits, Seed: t.script.Seed,
-		Record: t.record})
-	if err != nil {
-		return err
-	}
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	p.node = n
-	entry := listing.Node{Addr: n.Addr(), Zone: p.plan.Zone, Shard: p.plan.Shard}
-	if cold {
-		entry.Born = n.Born().UnixNano()
-	}
-	p.listed = append(p.listed, entry)
-	return nil
-}
-
-// list hands out the list as it is now.
-func (t *town) list() error {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	var l listing.List
-	for _, n := range t.script.Nodes {
-		l.Nodes = append(l.Nodes, t.nodes[n.Name].listed...)
-	}
-	if t.fleet != nil {
-		t.fleet.want(l)
-		return nil
-	}
-	if t.plane != nil {
-		t.plane.Set(func([]listing.Node) []listing.Node { return slices.Clone(l.Nodes) })
-	} else if err := renameio.WriteFile(filepath.Join(t.dir, "nodes.hcl"), listing.Write(l), 0o644); err != nil {
-		return err
-	}
-	t.announce(l)
-	return nil
-}
-
-// stand changes what the list says of a node.
-func (t *town) stand(p *place, addr string, s listing.Standing) {
-	t.lock.Lock()
-	for i := range p.listed {
-		if p.listed[i].Addr == addr {
-			p.listed[i].Standing = s
 		}
+		terms.Limits[id] = limit
 	}
-	t.lock.Unlock()
-	if err := t.list(); err != nil {
-		t.opt.Note("the list cannot be written: %v", err)
-	}
-}
-
-// Lines of a configuration that a day replaces.
-var (
-	nodesLine  = regexp.MustCompile(`(?m)^  nodes +=.*$`)
-	shardsLine = regexp.MustCompile(`(?m)^  shards +=.*$`)
-)
-
-// startGateway starts a gateway, as a process of its own or in this one.
-func (t *town) startGateway(h *host) error {
-	head, rest, found := strings.Cut(t.source, `gateway "`+t.conf.Name+`"`)
-	if !found {
-		return fmt.Errorf("%s: write the gateway block as: gateway %q {", t.script.Config, t.conf.Name)
-	}
-	text := head + fmt.Sprintf("gateway %q", h.name) + rest
-	text = strings.Replace(text, fmt.Sprintf("%q", t.conf.Sources[0].File), fmt.Sprintf("%q", filepath.Join(t.dir, "nodes.hcl")), 1)
-	if t.plane != nil {
-		text = nodesLine.ReplaceAllString(text, "") + fmt.Sprintf("\nsource \"xds\" \"plane\" {\n  address = %q\n  form = %q\n}\n", t.plane.Addr(), t.opt.List)
-	}
-	if t.fleet != nil {
-		text = t.fleet.configure(h, text)
-	}
-	if t.script.Shards > 0 {
-		text = shardsLine.ReplaceAllString(text, fmt.Sprintf("  shards = %d", t.script.Shards))
-	}
-	text = strings.Replace(text, fmt.Sprintf("%q", t.conf.Listen), `"127.0.0.1:0"`, 1)
-	if t.opt.Capture != "" {
-		at := strings.Index(text, fmt.Sprintf("gateway %q", h.name))
-		at += strings.IndexByte(text[at:], '{') + 1
-		text = text[:at] + fmt.Sprintf("\n  capture {\n    folder = %q\n  }\n", t.opt.Capture) + text[at:]
-	}
-	text += t.script.disks()
-	if err := os.WriteFile(h.file, []byte(text), 0o644); err != nil {
-		return err
-	}
-	if t.opt.Program == "" {
-		c, err := config.Load(h.file)
-		if err != nil {
-			return err
-		}
-		g, err := serve.Start(c, t.dir, slog.New(slog.NewTextHandler(t.opt.Log, nil)))
-		if err != nil {
-			return err
-		}
-		h.lock.Lock()
-		if h.in, h.addr = g, g.Front.Addr(); g.Disks != nil {
-			h.disk = g.Disks.Addr()
-		}
-		h.lock.Unlock()
-		return nil
-	}
-	cmd := exec.Command(t.opt.Program, "serve", "--config", h.file)
-	cmd.Stderr = t.opt.Log
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		return err
-	}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	lines := bufio.NewReader(out)
-	last := func() string { // word of the next line
-		line, e := lines.ReadString('\n')
-		err = errors.Join(err, e)
-		line = strings.TrimSpace(line)
-		return line[strings.LastIndexByte(line, ' ')+1:]
-	}
-	addr, disk := last(), ""
-	if t.script.disks() != "" {
-		disk = last()
-	}
-	if err != nil {
-		cmd.Process.Kill()
-		cmd.Wait()
-		return fmt.Errorf("gateway %s does not start: %w", h.name, err)
-	}
-	h.lock.Lock()
-	h.out, h.addr, h.disk = cmd, addr, disk
-	h.lock.Unlock()
-	return nil
-}
-
-// stop ends a gateway as a crash does.
-func (h *host) stop() {
-	h.lock.Lock()
-	in, out := h.in, h.out
-	h.in, h.out = nil, nil
-	h.lock.Unlock()
-	if in != nil {
-		in.Kill()
-	}
-	if out != nil {
-		out.Process.Kill()
-		out.Wait()
-	}
-}
-
-func (h *host) where() string {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	return h.addr
-}
-
-func (h *host) whereDisk() string {
-	h.lock.Lock()
-	defer h.lock.Unlock()
-	return h.disk
+	return terms
 }
 
 // clients makes the script's clients and waits until all have their files.
@@ -446,137 +220,3 @@
 	}
 	return list, totals, err
 }
-
-// act is something that happens at a time of the day.
-type act struct {
-	at Span
-	do func()
-}
-
-// troubles lets the day go by with what happens in it.
-func (t *town) troubles(ctx context.Context) {
-	acts := []act{{t.script.Length, func() {}}}
-	for _, trouble := range t.script.Troubles {
-		acts = append(acts, t.acts(trouble)...)
-	}
-	for _, c := range t.script.Fleet.Changes {
-		for at, round := c.At, 0; at <= t.script.Length && (round == 0 || c.Every > 0); at, round = at+c.Every, round+1 {
-			acts = append(acts, act{at, func() { t.fleet.change(c, round) }})
-		}
-	}
-	slices.SortStableFunc(acts, func(a, b act) int { return cmp.Compare(a.at, b.at) })
-	began := time.Now()
-	for _, a := range acts {
-		if a.at > t.script.Length {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Until(began.Add(a.at))):
-			a.do()
-		}
-	}
-}
-
-// acts are the steps of a trouble.
-func (t *town) acts(tr TroublePlan) []act {
-	end := tr.At + tr.For
-	if tr.Keeper != "" || len(tr.Between) > 0 || tr.Do == "stop" {
-		return t.fleet.acts(tr)
-	}
-	if tr.Plane != "" {
-		return []act{{tr.At, func() {
-			if t.plane == nil {
-				return // a file has none of its troubles
-			}
-			t.opt.Note("management server: %s", tr.Plane)
-			if err := t.plane.Command(tr.Plane); err != nil {
-				t.opt.Note("management server: %v", err)
-			}
-		}}}
-	}
-	if tr.Gateway != "" {
-		return t.kill(tr, end)
-	}
-	p := t.nodes[tr.Node]
-	now := func() *standin.Node {
-		t.lock.Lock()
-		defer t.lock.Unlock()
-		return p.node
-	}
-	var old *standin.Node
-	switch tr.Do {
-	case "die": // the list notices; a cold one comes at the end
-		return []act{
-			{tr.At, func() {
-				old = now()
-				t.opt.Note("%s dies", tr.Node)
-				old.Close()
-			}},
-			{tr.At + noticed, func() { t.stand(p, old.Addr(), listing.Gone) }},
-			{end, func() { t.fresh(tr.Node, p) }},
-		}
-	case "replace": // the old one is listed as draining when its successor stands
-		return []act{
-			{tr.At, func() {
-				old = now()
-				t.opt.Note("%s starts anew, cold", tr.Node)
-				if err := t.startNode(p, true); err != nil {
-					t.opt.Note("%s does not start: %v", tr.Node, err)
-					return
-				}
-				t.stand(p, old.Addr(), listing.Draining) // the list has both at once
-			}},
-			{tr.At + farewell, func() { t.stand(p, old.Addr(), listing.Gone) }},
-			{tr.At + farewell + noticed, func() { old.Close() }},
-		}
-	}
-	command := func(text string) func() {
-		return func() {
-			t.opt.Note("%s: %s", tr.Node, text)
-			if err := now().Command(text); err != nil {
-				t.opt.Note("%s: %v", tr.Node, err)
-			}
-		}
-	}
-	acts := []act{{tr.At, command(tr.Do)}}
-	if tr.For > 0 {
-		acts = append(acts, act{end, command("well")})
-	}
-	return acts
-}
-
-// fresh starts a cold node in a place and lists it.
-func (t *town) fresh(name string, p *place) {
-	t.opt.Note("%s starts anew, cold", name)
-	if err := t.startNode(p, true); err != nil {
-		t.opt.Note("%s does not start: %v", name, err)
-		return
-	}
-	if err := t.list(); err != nil {
-		t.opt.Note("the list cannot be written: %v", err)
-	}
-}
-
-// kill kills a gateway outright, and starts it again at the end.
-func (t *town) kill(tr TroublePlan, end Span) []act {
-	i := slices.IndexFunc(t.hosts, func(h *host) bool { return h.name == tr.Gateway })
-	h := t.hosts[i]
-	return []act{
-		{tr.At, func() {
-			t.opt.Note("%s is killed", h.name)
-			t.record.Add(audit.Event{What: audit.Killed, Gateway: h.name})
-			h.stop()
-			if t.fleet != nil {
-				t.fleet.ended(h)
-			}
-		}},
-		{end, func() {
-			t.opt.Note("%s starts again", h.name)
-			if err := t.startGateway(h); err != nil {
-				t.opt.Note("%s does not start: %v", h.name, err)
-			}
-		}},
-	}
-}
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -33,6 +33,7 @@
 	Lease    string        `hcl:"lease,optional"`
 	Drift    float64       `hcl:"drift,optional"`
 	Floor    string        `hcl:"floor,optional"`
+	Peers    bool          `hcl:"peers,optional"`
 	Changes  []changeForm  `hcl:"change,block"`
 	Nodes    []nodeForm    `hcl:"node,block"`
 	Clients  []clientForm  `hcl:"client,block"`
@@ -188,7 +189,11 @@
 	if s.Gateways < 1 || s.Gateways > 64 || s.Length <= 0 || s.Length > time.Hour {
 		refuse(top, "a day has 1 to 64 gateways and lasts up to an hour")
 	}
-	s.Fleet = FleetPlan{Keepers: form.Keepers, Lease: span(top, "lease", form.Lease, time.Second), Drift: form.Drift, Floor: span(top, "floor", form.Floor, 0)}
+	s.Fleet = FleetPlan{Keepers: form.Keepers, Lease: span(top, "lease", form.Lease, time.Second), Drift: form.Drift, Floor: span(top, "floor", form.Floor, 0),
+		Peers: form.Peers}
+	if form.Peers && (form.Keepers == 0 || s.Gateways > 16) {
+		refuse(top, "peers = true: a day with keepers and up to 16 gateways, as each pair has a link")
+	}
 	if k := form.Keepers; k != 0 && k != 1 && k != 3 && k != 5 {
 		refuse(top, "keepers = %d: one, three or five", k)
 	}
--- /dev/null
+++ b/internal/day/troubles.go
@@ -0,0 +1,146 @@
+package day
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"irispost/internal/audit"
+	"irispost/internal/listing"
+	"irispost/internal/standin"
+)
+
+// act is something that happens at a time of the day.
+type act struct {
+	at Span
+	do func()
+}
+
+// troubles lets the day go by with what happens in it.
+func (t *town) troubles(ctx context.Context) {
+	acts := []act{{t.script.Length, func() {}}}
+	for _, trouble := range t.script.Troubles {
+		acts = append(acts, t.acts(trouble)...)
+	}
+	for _, c := range t.script.Fleet.Changes {
+		for at, round := c.At, 0; at <= t.script.Length && (round == 0 || c.Every > 0); at, round = at+c.Every, round+1 {
+			acts = append(acts, act{at, func() { t.fleet.change(c, round) }})
+		}
+	}
+	slices.SortStableFunc(acts, func(a, b act) int { return cmp.Compare(a.at, b.at) })
+	began := time.Now()
+	for _, a := range acts {
+		if a.at > t.script.Length {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(began.Add(a.at))):
+			a.do()
+		}
+	}
+}
+
+// acts are the steps of a trouble.
+func (t *town) acts(tr TroublePlan) []act {
+	end := tr.At + tr.For
+	if tr.Keeper != "" || len(tr.Between) > 0 || tr.Do == "stop" {
+		return t.fleet.acts(tr)
+	}
+	if tr.Plane != "" {
+		return []act{{tr.At, func() {
+			if t.plane == nil {
+				return // a file has none of its troubles
+			}
+			t.opt.Note("management server: %s", tr.Plane)
+			if err := t.plane.Command(tr.Plane); err != nil {
+				t.opt.Note("management server: %v", err)
+			}
+		}}}
+	}
+	if tr.Gateway != "" {
+		return t.kill(tr, end)
+	}
+	p := t.nodes[tr.Node]
+	now := func() *standin.Node {
+		t.lock.Lock()
+		defer t.lock.Unlock()
+		return p.node
+	}
+	var old *standin.Node
+	switch tr.Do {
+	case "die": // the list notices; a cold one comes at the end
+		return []act{
+			{tr.At, func() {
+				old = now()
+				t.opt.Note("%s dies", tr.Node)
+				old.Close()
+			}},
+			{tr.At + noticed, func() { t.stand(p, old.Addr(), listing.Gone) }},
+			{end, func() { t.fresh(tr.Node, p) }},
+		}
+	case "replace": // the old one is listed as draining when its successor stands
+		return []act{
+			{tr.At, func() {
+				old = now()
+				t.opt.Note("%s starts anew, cold", tr.Node)
+				if err := t.startNode(p, true); err != nil {
+					t.opt.Note("%s does not start: %v", tr.Node, err)
+					return
+				}
+				t.stand(p, old.Addr(), listing.Draining) // the list has both at once
+			}},
+			{tr.At + farewell, func() { t.stand(p, old.Addr(), listing.Gone) }},
+			{tr.At + farewell + noticed, func() { old.Close() }},
+		}
+	}
+	command := func(text string) func() {
+		return func() {
+			t.opt.Note("%s: %s", tr.Node, text)
+			if err := now().Command(text); err != nil {
+				t.opt.Note("%s: %v", tr.Node, err)
+			}
+		}
+	}
+	acts := []act{{tr.At, command(tr.Do)}}
+	if tr.For > 0 {
+		acts = append(acts, act{end, command("well")})
+	}
+	return acts
+}
+
+// fresh starts a cold node in a place and lists it.
+func (t *town) fresh(name string, p *place) {
+	t.opt.Note("%s starts anew, cold", name)
+	if err := t.startNode(p, true); err != nil {
+		t.opt.Note("%s does not start: %v", name, err)
+		return
+	}
+	if err := t.list(); err != nil {
+		t.opt.Note("the list cannot be written: %v", err)
+	}
+}
+
+// kill kills a gateway outright, and starts it again at the end.
+func (t *town) kill(tr TroublePlan, end Span) []act {
+	i := slices.IndexFunc(t.hosts, func(h *host) bool { return h.name == tr.Gateway })
+	h := t.hosts[i]
+	return []act{
+		{tr.At, func() {
+			t.opt.Note("%s is killed", h.name)
+			t.record.Add(audit.Event{What: audit.Killed, Gateway: h.name})
+			h.stop()
+			if t.fleet != nil {
+				t.fleet.ended(h)
+			}
+		}},
+		{end, func() {
+			t.opt.Note("%s starts again", h.name)
+			if err := t.startGateway(h); err != nil {
+				t.opt.Note("%s does not start: %v", h.name, err)
+			}
+		}},
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,12 +1,14 @@
 // Package discovery brings the list of storage nodes from a service that answers when it is asked, over HTTP/1.1: the whole list,
 // or a watch on its changes. It asks when the module wants the list watched; when to ask again after a failure is the module's.
-// What it is told goes on at once.
+// What it is told goes on at once. A call that ends without a word is told apart from one that fails: what it missed counts as told
+// a while after the service fell silent.
 package discovery
 
 import (
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -122,6 +124,7 @@
 	lock  sync.Mutex
 	addr  string
 	moved bool // the address has changed since the last call began
+	quick bool // the last call ended without a word: the next is not to wait for changes, so that an answer shows at once; Run's
 	conn  net.Conn
 	in    *bufio.Reader
 }
@@ -161,8 +164,8 @@
 	c.Watch()
 }
 
-// Run watches until the context ends. It tells of lists, and of calls that failed.
-func (c *Client) Run(ctx context.Context, tell func(listing.List), failed func()) {
+// Run watches until the context ends. It tells of lists, and of calls that failed; silent that one was taken and nothing came of it.
+func (c *Client) Run(ctx context.Context, tell func(listing.List), failed func(silent bool)) {
 	c.tell = tell
 	stop := context.AfterFunc(ctx, func() {
 		c.lock.Lock()
@@ -180,6 +183,7 @@
 		}
 		for ctx.Err() == nil {
 			err := c.ask(ctx)
+			c.quick = errors.Is(err, errSilent)
 			if err == nil {
 				continue
 			}
@@ -192,7 +196,7 @@
 			}
 			if ctx.Err() == nil {
 				c.opt.Log.Info("the watch on the list ended", "gateway", c.opt.Gateway, "rev", c.table.rev, "why", err)
-				failed()
+				failed(c.quick)
 			}
 			break
 		}
@@ -210,6 +214,9 @@
 // bounds of an answer: lists of many thousands of nodes.
 var bounds = http1.Bounds{Head: 8 << 10, Fields: 64, Body: 4 << 20, Extra: 8}
 
+// errSilent tells that a call was taken and nothing came of it.
+var errSilent = errors.New("the service is silent")
+
 // ask makes one call.
 func (c *Client) ask(ctx context.Context) error {
 	c.lock.Lock()
@@ -240,15 +247,22 @@
 			return net.ErrClosed
 		}
 	}
+	hold, limit := c.opt.Hold, c.opt.Hold+c.opt.Slack
+	if c.quick { // the service may be busy with all who come back with us
+		hold, limit = min(hold, time.Millisecond), 2*c.opt.Slack
+	}
 	target := "/v1/servers"
 	if c.table.last != nil {
-		target += "?from=" + strconv.FormatInt(c.table.rev, 10) + "&hold_ms=" + strconv.FormatInt(c.opt.Hold.Milliseconds(), 10)
+		target += "?from=" + strconv.FormatInt(c.table.rev, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
 	}
-	conn.SetDeadline(time.Now().Add(c.opt.Hold + c.opt.Slack))
+	conn.SetDeadline(time.Now().Add(limit))
 	if _, err := conn.Write(http1.NewRequest("GET", target).Field("Host", addr).Body(nil, false)); err != nil {
 		return err
 	}
 	a, err := http1.ReadAnswer(in, bounds)
+	if n := net.Error(nil); errors.As(err, &n) && n.Timeout() {
+		return fmt.Errorf("%w: %w", errSilent, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -149,7 +150,10 @@
 	lists, failed := make(chan listing.List), make(chan bool)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { c.Run(ctx, func(l listing.List) { lists <- l }, func() { failed <- true }); close(ended) }()
+	go func() {
+		c.Run(ctx, func(l listing.List) { lists <- l }, func(silent bool) { failed <- silent })
+		close(ended)
+	}()
 	next := func(s *service, query, answer string) {
 		t.Helper()
 		a := <-s.calls
@@ -165,19 +169,29 @@
 			t.Fatalf("%+v", l)
 		}
 	}
+	loud := func() {
+		t.Helper()
+		if <-failed {
+			t.Error("a call that ended with a word counts as silent")
+		}
+	}
 	c.Watch()
 	next(one, "/v1/servers?from=41&hold_ms=1000", form(43, false, "draining"))
 	told("43", true, listing.Draining)
-	next(one, "/v1/servers?from=43&hold_ms=1000", form(44, true, "ready"))
+	indented := &bytes.Buffer{}
+	if err := json.Indent(indented, []byte(form(44, true, "ready")), "", "  "); err != nil {
+		t.Fatal(err)
+	}
+	next(one, "/v1/servers?from=43&hold_ms=1000", indented.String())
 	told("44", false, listing.Ready)
 	next(one, "/v1/servers?from=44&hold_ms=1000", "busy")
-	<-failed // and nothing is asked until the module wants it
+	loud() // and nothing is asked until the module wants it
 	c.Watch()
 	next(one, "/v1/servers?from=44&hold_ms=1000", "")
-	<-failed
+	loud()
 	c.Watch()
 	next(one, "/v1/servers?from=44&hold_ms=1000", `{"rev":"x"}`)
-	<-failed
+	loud()
 	c.Move(two.addr) // asked at once
 	next(two, "/v1/servers?from=44&hold_ms=1000", form(45, false, "gone"))
 	told("45", true, listing.Gone)
@@ -192,3 +206,51 @@
 	cancel()
 	<-ended
 }
+
+// Guard: a service that takes a call and says nothing is found out soon after the time for which it may wait, and is told apart from
+// one that fails; the next call is not to wait, so that its answer shows at once whether the service is there again.
+func TestSilentService(t *testing.T) {
+	s := serve(t)
+	c, _, err := discovery.New(discovery.Options{Gateway: "n1", Address: s.addr, Hold: 50 * time.Millisecond, Slack: 50 * time.Millisecond,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lists, failed := make(chan listing.List), make(chan bool)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		c.Run(ctx, func(l listing.List) { lists <- l }, func(silent bool) { failed <- silent })
+		close(ended)
+	}()
+	c.Watch()
+	(<-s.calls).answer <- form(1, true, "ready")
+	<-lists
+	for _, query := range []string{"/v1/servers?from=1&hold_ms=50", "/v1/servers?from=1&hold_ms=1"} {
+		if a := <-s.calls; a.query != query {
+			t.Fatalf("%s is asked, not %s", a.query, query)
+		}
+		if !<-failed { // nothing was answered
+			t.Error("silence counts as a word")
+		}
+		c.Watch()
+	}
+	(<-s.calls).answer <- form(2, false, "draining")
+	if l := <-lists; l.Version != "2" {
+		t.Errorf("%+v", l)
+	}
+	if a := <-s.calls; a.query != "/v1/servers?from=2&hold_ms=50" {
+		t.Errorf("%s is asked", a.query)
+	}
+	cancel()
+	go func() { // whatever is told at the end
+		for {
+			select {
+			case <-failed:
+			case <-ended:
+				return
+			}
+		}
+	}()
+	<-ended
+}
--- a/internal/fleet/accord/follower.go
+++ b/internal/fleet/accord/follower.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"irispost/internal/fleet/cold/tenure"
 	"irispost/internal/fleet/rules"
 )
 
@@ -24,6 +25,9 @@
 
 func (s State) String() string { return states[s] }
 
+// States are the names of all.
+func States() []string { return slices.Clone(states[:]) }
+
 // Follower is a gateway's side. All its times are the gateway's own clock.
 type Follower struct {
 	who     string
@@ -41,6 +45,11 @@
 	lease   Time
 	floor   Time
 	again   bool // ask at once
+	watched bool // news is told of as it comes: a lease is all that is asked for
+	length  Time // of the lease that was granted last
+	peer    string
+	set     uint64 // the members that are known
+	newSet  *Members
 	next    Time // or then
 	pause   Time
 	trouble string
@@ -68,14 +77,44 @@
 	f.state = to
 }
 
-// Due tells when to ask next.
+// Members are those that a lease came with.
+type Members struct {
+	Asked Time // when the lease was asked for
+	Set   tenure.Set
+	Peers map[string]string
+}
+
+// Reached tells where other gateways reach this one. Who is reached is told of the others.
+func (f *Follower) Reached(addr string) { f.peer = addr }
+
+// Members takes what the last lease came with of members; nil: nothing has come since.
+func (f *Follower) Members() *Members {
+	m := f.newSet
+	f.newSet = nil
+	return m
+}
+
+// Due tells when to ask next. Where news is told of as it comes, that is when half of the lease has passed.
 func (f *Follower) Due(now Time) Time {
 	if f.again {
 		return now
 	}
+	if f.watched && (f.state == Acting || f.state == Prepared) {
+		return f.next + max(f.length/2-f.pause, 0)
+	}
 	return f.next
 }
 
+// Known is what of the log's state is known here, for who waits for news of it.
+func (f *Follower) Known() (term, inForce, announced uint64) { return f.term, f.inForce, f.newest }
+
+// Watched tells that from now on news is told of as it comes, or that it is not. Nothing that is acted on hangs on it, only when it
+// is asked again.
+func (f *Follower) Watched(is bool) { f.watched = is }
+
+// News tells that there is something that is not known here: it is asked for at once.
+func (f *Follower) News() { f.again = true }
+
 // Ask is what to ask now. A lease that comes of it counts from now.
 func (f *Follower) Ask(now Time) *Ask {
 	f.At(now)
@@ -85,7 +124,7 @@
 	if len(f.asked) > 16 {
 		f.asked = f.asked[1:]
 	}
-	a := &Ask{Who: f.who, Seq: f.seq, Term: f.term, Taken: f.taken, State: f.state.String(), Trouble: f.trouble}
+	a := &Ask{Who: f.who, Seq: f.seq, Term: f.term, Taken: f.taken, State: f.state.String(), Trouble: f.trouble, Set: f.set, Peer: f.peer}
 	for _, v := range f.held {
 		a.Holds = append(a.Holds, v.Number)
 	}
@@ -128,7 +167,10 @@
 		return
 	}
 	f.taken, f.term, f.inForce, f.newest = g.Seq, g.Term, g.InForce, g.Announced
-	f.lease = max(f.lease, lease)
+	f.lease, f.length = max(f.lease, lease), g.Lease
+	if g.Set != nil {
+		f.set, f.newSet = g.Set.Number, &Members{Asked: at, Set: *g.Set, Peers: g.Peers}
+	}
 	if !slices.Equal(held, f.held) || f.state != Acting && f.state != Prepared {
 		f.held, f.opened = held, opened
 		f.again = true // whoever waits for this hears of it at once
--- a/internal/fleet/accord/ledger.go
+++ b/internal/fleet/accord/ledger.go
@@ -46,6 +46,7 @@
 	Force   uint64    `json:"force,omitempty"`
 	Join    []string  `json:"join,omitempty"`
 	Part    []string  `json:"part,omitempty"`
+	Away    []string  `json:"away,omitempty"` // their leases have run out; they may act on a floor
 }
 
 // Ledger is what the log has come to. The same commands in the same order give the same ledger at each keeper.
@@ -56,6 +57,9 @@
 	InForce   uint64            `json:"in_force"` // 0: none
 	Announced uint64            `json:"announced"`
 	Holders   map[string]bool   `json:"holders"` // that may hold a lease or a floor
+	Present   map[string]bool   `json:"present"` // those of them that may hold a lease
+	Sets      uint64            `json:"sets"`    // changes of who is present
+	Parts     uint64            `json:"parts"`   // gateways that were present and ceased to be, so far
 }
 
 // Why a proposal is refused. The text says what to do.
@@ -65,7 +69,9 @@
 )
 
 // NewLedger is the ledger of an empty log.
-func NewLedger() *Ledger { return &Ledger{IDs: map[string]uint64{}, Holders: map[string]bool{}} }
+func NewLedger() *Ledger {
+	return &Ledger{IDs: map[string]uint64{}, Holders: map[string]bool{}, Present: map[string]bool{}}
+}
 
 // Version is a version by its number; nil: there is none.
 func (l *Ledger) Version(n uint64) *rules.Version {
@@ -90,8 +96,18 @@
 			l.InForce = c.Force
 		}
 	default:
+		before := l.Sets
 		for _, name := range c.Join {
 			l.Holders[name] = true
+			if !l.Present[name] {
+				l.Present[name], l.Sets = true, before+1
+			}
+		}
+		for _, name := range slices.Concat(c.Part, c.Away) {
+			if l.Present[name] {
+				delete(l.Present, name)
+				l.Parts, l.Sets = l.Parts+1, before+1
+			}
 		}
 		for _, name := range c.Part {
 			delete(l.Holders, name)
--- a/internal/fleet/accord/model_test.go
+++ b/internal/fleet/accord/model_test.go
@@ -60,6 +60,7 @@
 func cloneLedger(l *Ledger) *Ledger {
 	c := *l
 	c.Versions, c.IDs, c.Holders = slices.Clone(l.Versions), maps.Clone(l.IDs), maps.Clone(l.Holders)
+	c.Present = maps.Clone(l.Present)
 	return &c
 }
 
--- a/internal/fleet/accord/warden.go
+++ b/internal/fleet/accord/warden.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"irispost/internal/fleet/cold/tenure"
 	"irispost/internal/fleet/rules"
 )
 
@@ -16,16 +17,20 @@
 	Holds   []uint64 `json:"holds"` // the versions that it acts on: on the meet, where there are two
 	Trouble string   `json:"trouble,omitempty"`
 	State   string   `json:"state"`
+	Set     uint64   `json:"set,omitempty"`  // the members that it knows
+	Peer    string   `json:"peer,omitempty"` // where other gateways reach it
 }
 
 // Grant is the leading keeper's answer.
 type Grant struct {
-	Seq       uint64           `json:"seq"`
-	Term      uint64           `json:"term"`
-	InForce   uint64           `json:"in_force"`
-	Announced uint64           `json:"announced"`
-	Lease     Time             `json:"lease"` // from when it was asked for; 0: none yet, ask again
-	Versions  []*rules.Version `json:"versions,omitempty"`
+	Seq       uint64            `json:"seq"`
+	Term      uint64            `json:"term"`
+	InForce   uint64            `json:"in_force"`
+	Announced uint64            `json:"announced"`
+	Lease     Time              `json:"lease"` // from when it was asked for; 0: none yet, ask again
+	Versions  []*rules.Version  `json:"versions,omitempty"`
+	Set       *tenure.Set       `json:"set,omitempty"`   // who is present; its members only where the gateway knows others
+	Peers     map[string]string `json:"peers,omitempty"` // with them, where they are reached, as far as is known
 }
 
 // holder is a gateway that may act on something, as the leading keeper knows it.
@@ -42,6 +47,7 @@
 	heard   Time
 	state   string
 	trouble string
+	peer    string
 }
 
 // granted is a grant that a holder may have taken after it last said what it holds.
@@ -56,12 +62,17 @@
 	forcing uint64 // asked for in this term
 	forced  Time   // and when
 	parting map[string]Time
+	leaving map[string]Time // whose absence was put into the log, and when
+	set     uint64          // who is present, and since when nobody else is, as far as is known in this term
+	setAt   Time
+	peered  bool // some gateway is reached by others, so that it counts who is present
 	flaws   Flaws
 }
 
 // Lead makes a warden for a term. Whoever the log knows may have got a lease a moment ago.
 func Lead(now Time, term uint64, l *Ledger, flaws Flaws) *Warden {
-	w := &Warden{ledger: l, term: term, holders: map[string]*holder{}, joining: map[string]bool{}, parting: map[string]Time{}, flaws: flaws}
+	w := &Warden{ledger: l, term: term, holders: map[string]*holder{}, joining: map[string]bool{}, parting: map[string]Time{}, leaving: map[string]Time{}, flaws: flaws,
+		set: l.Sets, setAt: now}
 	for _, name := range names(l.Holders) {
 		h := &holder{name: name, lease: now + l.Terms.longer(l.Terms.Lease), unknown: now + l.Terms.longer(l.longest()), heard: now,
 			state: "unheard"}
@@ -90,6 +101,9 @@
 		h = &holder{name: a.Who}
 		w.holders[a.Who] = h
 	}
+	if a.Peer != "" && !w.ledger.Present[a.Who] { // it is here again, and the others have to know before it counts as one of them
+		w.joining[a.Who] = true
+	}
 	if a.Term == w.term && a.Seq > h.seq || w.flaws.Has(NoEcho) { // it was sent in this term, and after all that was heard before
 		h.seq, h.holds, h.unknown = a.Seq, slices.Clone(a.Holds), 0
 		h.granted = slices.DeleteFunc(h.granted, func(g granted) bool { return g.seq <= a.Taken })
@@ -102,13 +116,14 @@
 	}
 	h.granted = slices.DeleteFunc(h.granted, func(o granted) bool { return o.inForce == g.InForce })
 	h.granted = append(h.granted, granted{a.Seq, g.InForce})
-	h.heard, h.state, h.trouble = now, a.State, a.Trouble
+	h.heard, h.state, h.trouble, h.peer = now, a.State, a.Trouble, a.Peer
 	h.lease = max(h.lease, now+t.longer(t.Lease))
 	if w.flaws.Has(NoDrift) {
 		h.lease = now + t.Lease
 	}
 	h.floor = max(h.floor, now+t.longer(w.floorOf(h.holds)), now+t.longer(w.floorOf([]uint64{g.InForce, g.Announced})))
 	g.Lease = t.Lease
+	w.present(now, a, g)
 	for _, n := range []uint64{g.InForce, g.Announced} {
 		if v := w.ledger.Version(n); v != nil && !slices.Contains(a.Holds, n) && !slices.Contains(g.Versions, v) {
 			g.Versions = append(g.Versions, v)
@@ -117,6 +132,27 @@
 	return g
 }
 
+// present tells a gateway that is reached by others who is present.
+func (w *Warden) present(now Time, a *Ask, g *Grant) {
+	if a.Peer == "" {
+		return
+	}
+	w.peered = true
+	if w.set != w.ledger.Sets {
+		w.set, w.setAt = w.ledger.Sets, now // seen late, it counts as later than it is
+	}
+	g.Set = &tenure.Set{Number: w.set, Parts: w.ledger.Parts, Age: now - w.setAt, Lease: w.ledger.Terms.Lease, Drift: w.ledger.Terms.Drift}
+	if a.Set == w.set {
+		return
+	}
+	g.Set.Members, g.Peers = names(w.ledger.Present), map[string]string{}
+	for _, name := range g.Set.Members {
+		if h := w.holders[name]; h != nil && h.peer != "" {
+			g.Peers[name] = h.peer
+		}
+	}
+}
+
 // floorOf is the longest floor of versions.
 func (w *Warden) floorOf(numbers []uint64) (most Time) {
 	for _, n := range numbers {
@@ -152,6 +188,19 @@
 	if len(gone) > 0 {
 		return &Command{Part: gone}
 	}
+	if !w.peered {
+		return nil
+	}
+	for _, name := range names(w.ledger.Present) {
+		h := w.holders[name]
+		if at, asked := w.leaving[name]; h != nil && now > h.lease && (!asked || now > at+again) {
+			gone = append(gone, name)
+			w.leaving[name] = now
+		}
+	}
+	if len(gone) > 0 {
+		return &Command{Away: gone}
+	}
 	return nil
 }
 
@@ -161,6 +210,9 @@
 		delete(w.holders, name)
 		delete(w.parting, name)
 	}
+	for _, name := range slices.Concat(c.Part, c.Away) {
+		delete(w.leaving, name)
+	}
 }
 
 // Waits names the gateways that an announced version waits for, each with what for.
@@ -225,7 +277,7 @@
 	Holds   []uint64 `json:"holds"`
 	Heard   Time     `json:"heard_ms_ago"`
 	Lease   Time     `json:"lease_ms"` // left of it, as the keeper counts; below 0: run out
-	Hangs   bool     `json:"hangs"`    // no word for half of its lease
+	Hangs   bool     `json:"hangs"`    // no word for three quarters of its lease
 	Trouble string   `json:"trouble,omitempty"`
 }
 
@@ -237,7 +289,7 @@
 			continue
 		}
 		list = append(list, Seen{Who: name, State: h.state, Holds: h.holds, Heard: (now - h.heard) / 1e6, Lease: (h.lease - now) / 1e6,
-			Hangs: now-h.heard > w.ledger.Terms.Lease/2, Trouble: h.trouble})
+			Hangs: now-h.heard > w.ledger.Terms.Lease*3/4, Trouble: h.trouble})
 	}
 	return list
 }
--- /dev/null
+++ b/internal/fleet/cold/agent/deal.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"irispost/decide"
+	"irispost/internal/fleet/cold/budget"
+)
+
+// desk is where one node's budget is dealt out.
+type desk struct {
+	dealer *budget.Dealer
+	born   decide.Time
+	wait   map[string]chan budget.Loan // who asked, until there is something or their time is over
+}
+
+var (
+	errNotMine = errors.New("this node's budget is not this gateway's to deal out")
+	errRate    = errors.New("nobody knows yet what nodes can do")
+	errStart   = errors.New("another start of the node is known here")
+)
+
+// serve answers another gateway.
+func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	q := &request{}
+	if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(q); err != nil {
+		http.Error(w, "bad request: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	loan, err := a.deal(r.Context(), q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(loan)
+}
+
+// deal takes an ask in, and waits for a while until something is lent; a loan of nothing says that the dealer is there.
+func (a *Agent) deal(ctx context.Context, q *request) (*budget.Loan, error) {
+	answer := make(chan budget.Loan, 1)
+	a.lock.Lock()
+	k, err := a.desk(q)
+	if err == nil && !k.dealer.Asked(a.opt.Now(), &q.Ask) {
+		err = errors.New("an older ask, or none that can be")
+	}
+	if err != nil {
+		a.lock.Unlock()
+		return nil, err
+	}
+	k.wait[q.Who] = answer
+	a.lend(k)
+	a.lock.Unlock()
+	hold := time.NewTimer(time.Duration(a.opt.Terms.For) / holdParts)
+	defer hold.Stop()
+	select {
+	case l := <-answer:
+		return &l, nil
+	case <-hold.C:
+	case <-ctx.Done():
+	}
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if k.wait[q.Who] == answer {
+		delete(k.wait, q.Who)
+		k.dealer.Gone(q.Who)
+	}
+	select {
+	case l := <-answer: // it came at this moment
+		return &l, nil
+	default:
+		return &budget.Loan{Who: q.Who, Seq: q.Seq}, nil
+	}
+}
+
+// desk finds or opens the desk of a node whose budget is this gateway's; the lock is held.
+func (a *Agent) desk(q *request) (*desk, error) {
+	now := a.opt.Now()
+	k := a.desks[q.Node]
+	if !a.tenure.Mine(now, q.Node) {
+		delete(a.desks, q.Node)
+		return nil, errNotMine
+	}
+	born, rate := a.seen[q.Node].Born, a.rate
+	if rate <= 0 {
+		rate = q.Rate
+	}
+	switch {
+	case q.Born < born:
+		return nil, errStart
+	case rate <= 0:
+		return nil, errRate
+	case k == nil:
+		k = &desk{born: q.Born, dealer: budget.NewDealer(now, a.opt.Terms, now-q.Born, rate, a.opt.Flaws), wait: map[string]chan budget.Loan{}}
+		a.desks[q.Node] = k
+		a.opt.Log.Info("cold node: its budget is dealt out here", "gateway", a.opt.Gateway, "node", q.Node, "age_ms", (now-q.Born)/decide.Millisecond, "rate", rate)
+	case q.Born > k.born:
+		k.born = q.Born
+		k.dealer.Restarted(now, now-q.Born)
+	case q.Born < k.born:
+		return nil, errStart
+	}
+	k.dealer.Rate(now, rate)
+	return k, nil
+}
+
+// lend deals out what is ready to those who wait; the lock is held.
+func (a *Agent) lend(k *desk) {
+	for _, l := range k.dealer.Deal(a.opt.Now()) {
+		if to := k.wait[l.Who]; to != nil {
+			to <- l
+			delete(k.wait, l.Who)
+		}
+	}
+}
+
+// tend deals again at all desks, and closes those whose node is warm or not this gateway's any more; the lock is held.
+func (a *Agent) tend() {
+	now := a.opt.Now()
+	for node, k := range a.desks {
+		if !a.tenure.Mine(now, node) || k.dealer.Warm(now) {
+			delete(a.desks, node) // who waits is told that nothing is lent
+			continue
+		}
+		k.dealer.Forget(now, a.opt.Terms.Warm)
+		a.lend(k)
+	}
+}
--- /dev/null
+++ b/internal/fleet/cold/world_test.go
@@ -0,0 +1,372 @@
+package cold
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"irispost/internal/fleet/cold/budget"
+	"irispost/internal/fleet/cold/tenure"
+)
+
+// The world of these tests: one cold node, gateways of which each may come to have its budget, and keepers that grant leases and know the
+// members. Messages are lost, late and out of order; gateways stand still, are cut off and start anew under other names; keepers change;
+// clocks drift as far as is stated. All chance comes from the run's seed. After each step what was sent to the node within any window is
+// held against what it bears.
+
+const (
+	ms     = int64(1e6)
+	lease  = 1000 * ms
+	node   = "10.0.0.9:7000"
+	warmup = 12000 * ms
+)
+
+var terms = budget.Terms{From: 0.2, Warm: warmup, Multiple: 2, Window: 1500 * ms, Units: 5, Share: 0.5, For: 1000 * ms, Drift: 0.05}
+
+type flaws struct {
+	budget budget.Flaws
+	tenure tenure.Flaws
+}
+
+// loan is one that may still come to be used.
+type loan struct {
+	budget.Loan
+	until int64 // on its holder's clock
+}
+
+type clock struct {
+	rate float64
+	off  int64
+}
+
+func (c clock) at(now int64) int64 { return c.off + int64(float64(now)*c.rate) }
+
+type host struct {
+	clock
+	name    string
+	tenure  *tenure.Tenure
+	dealer  *budget.Dealer // nil: the budget is not its own
+	seq     uint64
+	purse   float64
+	until   int64 // on its clock
+	asked   int64 // likewise, the ask that is out
+	stopped int64 // true time until when it stands still
+	cut     int64
+	renewed int64
+	next    int64
+	out     []*loan // on their way to it, and those that it took
+	waits   bool    // for an answer
+	thirst  float64 // units a second that it would send
+	inbox   []func()
+}
+
+type world struct {
+	rand    *rand.Rand
+	flaws   flaws
+	now     int64
+	mail    []mail
+	hosts   []*host
+	count   int
+	keeper  clock
+	set     tenure.Set
+	setAt   int64 // on the keeper's clock
+	heard   map[string]int64
+	sends   []send
+	lent    float64
+	sent    float64
+	moves   int
+	moved   []int64
+	owner   string
+	loss    float64
+	slowest int64
+	hoards  bool    // holders send what they have when its time is nearly over
+	rare    float64 // how often something happens to a gateway, a step
+}
+
+type mail struct {
+	at   int64
+	what func()
+}
+
+type send struct {
+	at    int64
+	units float64
+}
+
+func (w *world) chance(p float64) bool { return w.rand.Float64() < p }
+
+func (w *world) clock() clock {
+	return clock{1 - terms.Drift + 2*terms.Drift*float64(w.rand.IntN(3))/2, int64(w.rand.IntN(1000)) * ms}
+}
+
+func (w *world) host() *host {
+	w.count++
+	h := &host{clock: w.clock(), name: "g" + strconv.Itoa(w.count), thirst: []float64{20, 200}[w.rand.IntN(2)]}
+	h.tenure = tenure.New(h.name, w.flaws.tenure)
+	return h
+}
+
+func newWorld(seed uint64, f flaws) *world {
+	w := &world{rand: rand.New(rand.NewPCG(seed, 1)), flaws: f, heard: map[string]int64{}}
+	w.keeper = w.clock()
+	w.loss, w.slowest = []float64{0, 0.05, 0.3}[w.rand.IntN(3)], []int64{2, 50, 500}[w.rand.IntN(3)]*ms
+	w.hoards = w.chance(0.5)
+	w.rare = []float64{0, 0.002, 0.01}[w.rand.IntN(3)]
+	for range 2 + w.rand.IntN(4) {
+		w.hosts = append(w.hosts, w.host())
+	}
+	return w
+}
+
+// post sends something to a host, or to the keepers (nil).
+func (w *world) post(from, to *host, what func()) {
+	if w.chance(w.loss) || from != nil && from.cut > w.now || to != nil && to.cut > w.now {
+		return
+	}
+	for range 1 + w.rand.IntN(20)/19 { // some come twice
+		w.mail = append(w.mail, mail{w.now + 1 + w.rand.Int64N(w.slowest), func() {
+			if to != nil {
+				to.inbox = append(to.inbox, what)
+			} else {
+				what()
+			}
+		}})
+	}
+}
+
+// change has the set of members be another.
+func (w *world) change(parted bool) {
+	w.set.Number++
+	if parted {
+		w.set.Parts++
+	}
+	w.setAt = w.keeper.at(w.now)
+}
+
+// renew is a gateway's ask for a lease at the keepers.
+func (w *world) renew(h *host) {
+	asked := h.at(w.now)
+	w.post(h, nil, func() {
+		now := w.keeper.at(w.now)
+		w.heard[h.name] = now
+		if !slices.Contains(w.set.Members, h.name) {
+			w.set.Members = append(slices.Clone(w.set.Members), h.name)
+			w.change(false)
+		}
+		s := w.set
+		s.Age, s.Lease, s.Drift = now-w.setAt, lease, terms.Drift
+		w.post(nil, h, func() { h.tenure.Granted(asked, h.at(w.now), s) })
+	})
+}
+
+// serve has a gateway answer another's ask as the node's dealer, if it is.
+func (w *world) serve(h *host, a *budget.Ask, from *host) {
+	now := h.at(w.now)
+	if !h.tenure.Mine(now, node) {
+		h.dealer = nil
+		return
+	}
+	if h.dealer == nil {
+		h.dealer = budget.NewDealer(now, terms, w.now, 60, w.flaws.budget) // the node started at 0
+		w.moved = append(w.moved, w.now)                                   // its own loans of before may still count
+		if w.owner != h.name {
+			w.owner = h.name
+			w.moves++
+		}
+	}
+	if !h.dealer.Asked(now, a) {
+		return
+	}
+	for _, l := range h.dealer.Deal(now) {
+		w.lent += l.Units
+		for _, to := range w.hosts {
+			if to.name == l.Who {
+				if l.Seq == to.seq {
+					to.out = append(to.out, &loan{l, to.asked + terms.For})
+				}
+				w.post(h, to, func() {
+					if t := to.at(w.now); l.Seq == to.seq && t < to.asked+terms.For {
+						to.purse, to.until, to.waits = l.Units, to.asked+terms.For, false
+					}
+				})
+			}
+		}
+	}
+}
+
+func (w *world) ask(h *host) {
+	h.seq++
+	h.asked, h.waits = h.at(w.now), true
+	if !w.flaws.budget.Has(budget.KeepsUnits) {
+		h.out = nil // what comes of earlier asks is not used
+	}
+	a := &budget.Ask{Who: h.name, Seq: h.seq, Want: 4 + h.thirst/4, Least: 1, Worth: h.thirst, Back: h.purse}
+	if h.asked >= h.until {
+		a.Back = 0 // gone
+	}
+	if !w.flaws.budget.Has(budget.KeepsUnits) {
+		h.purse = 0
+	}
+	for _, to := range w.hosts {
+		if to.name == h.tenure.Owner(node) {
+			w.post(h, to, func() { w.serve(to, a, h) })
+		}
+	}
+}
+
+// step lets a while pass.
+func (w *world) step() string {
+	w.now += 1 + w.rand.Int64N(25*ms)
+	due := slices.Clone(w.mail)
+	w.mail = slices.DeleteFunc(w.mail, func(m mail) bool { return m.at <= w.now })
+	for _, m := range due {
+		if m.at <= w.now {
+			m.what()
+		}
+	}
+	now := w.keeper.at(w.now)
+	left := slices.DeleteFunc(slices.Clone(w.set.Members), func(name string) bool {
+		return now > w.heard[name]+int64(float64(lease)*(1+terms.Drift)/(1-terms.Drift))+1
+	})
+	if len(left) < len(w.set.Members) {
+		w.set.Members = left
+		w.change(true)
+	}
+	if w.chance(w.rare) { // another keeper leads, and knows of nobody how long it has been a member
+		w.setAt = now
+	}
+	for i, h := range w.hosts {
+		switch {
+		case w.chance(w.rare):
+			h.stopped = w.now + w.rand.Int64N(4000*ms)
+		case w.chance(w.rare):
+			h.cut = w.now + w.rand.Int64N(4000*ms)
+		case w.chance(w.rare / 2):
+			w.hosts[i] = w.host()
+			continue
+		}
+		if h.stopped > w.now {
+			continue
+		}
+		inbox := h.inbox
+		h.inbox = nil
+		for _, what := range inbox {
+			what()
+		}
+		t := h.at(w.now)
+		if t-h.renewed > lease/3 {
+			h.renewed = t
+			w.renew(h)
+		}
+		if t >= h.next && (!h.waits || t >= h.asked+terms.For) {
+			h.next = t + 20*ms + w.rand.Int64N(200*ms)
+			if w.hoards {
+				h.next = t + terms.For*9/10 + w.rand.Int64N(terms.For/5)
+			}
+			w.ask(h)
+		}
+		if units := h.purse; units > 0 && t < h.until && (!w.hoards || h.until-t < 60*ms) && w.chance(0.8) {
+			h.purse, h.out = 0, nil
+			w.sent += units
+			w.sends = append(w.sends, send{w.now, units})
+		}
+	}
+	moved := int64(0) // since the first of the moves whose loans may still count
+	for _, at := range w.moved {
+		if w.now-at < 2*terms.For {
+			moved = max(moved, w.now-at)
+		}
+	}
+	if could, most := w.could(), terms.Most(w.now, 60, moved); could > most+1e-6 {
+		return fmt.Sprintf("%.1f units can be sent at once, %.1f may be", could, most)
+	}
+	sum := 0.0
+	for len(w.sends) > 0 && w.sends[0].at <= w.now-terms.Window {
+		w.sends = w.sends[1:]
+	}
+	for _, s := range w.sends {
+		sum += s.units
+	}
+	if most := terms.Share * terms.Bears(w.now-terms.Window, 60); sum > most+1e-6 {
+		return fmt.Sprintf("%.1f units in a window, %.1f are dealt out of %.1f", sum, most, most/terms.Share)
+	}
+	return ""
+}
+
+// could is what can reach the node at once: what is lent and counts for its holders, had or on its way, and what is ready at all who
+// believe the budget theirs.
+func (w *world) could() (units float64) {
+	for _, h := range w.hosts {
+		t := h.at(w.now)
+		for _, l := range h.out {
+			if t < l.until {
+				units += l.Units
+			}
+		}
+		if h.dealer != nil && h.tenure.Mine(t, node) {
+			ready, _ := h.dealer.Stock(t)
+			units += ready
+		}
+	}
+	return units
+}
+
+// play plays a run until the node is warm, and tells how it broke.
+func play(seed uint64, f flaws) (*world, string) {
+	w := newWorld(seed, f)
+	for w.now < warmup {
+		if broken := w.step(); broken != "" {
+			return w, fmt.Sprintf("seed %d, after %d ms: %s", seed, w.now/ms, broken)
+		}
+	}
+	return w, ""
+}
+
+// TestBudgetHolds: never more reaches the node than is dealt out of what it bears; and of that, enough.
+func TestBudgetHolds(t *testing.T) {
+	runs := 400
+	if n, err := strconv.Atoi(os.Getenv("IRISPOST_RUNS")); err == nil {
+		runs = n
+	}
+	sent, moves := 0.0, 0
+	for seed := range uint64(runs) {
+		w, broken := play(seed, flaws{})
+		if broken != "" {
+			t.Fatal(broken)
+		}
+		sent, moves = sent+w.sent, moves+w.moves
+	}
+	t.Logf("%d runs: %.0f units a run, the budget moved %.1f times", runs, sent/float64(runs), float64(moves)/float64(runs))
+	if moves < runs/2 || sent < 10*float64(runs) {
+		t.Errorf("%d moves and %.0f units in %d runs: they show little", moves, sent, runs)
+	}
+}
+
+// TestDefectsAreFound: each defect breaks the rule in some run.
+func TestDefectsAreFound(t *testing.T) {
+	for name, f := range map[string]flaws{
+		"a dealer begins with all ready":           {budget: budget.FullStart},
+		"what is out takes no room":                {budget: budget.IgnoresOut},
+		"an ask counts twice":                      {budget: budget.TakesOld | budget.BelievesBack},
+		"more is taken back than was lent":         {budget: budget.BelievesBack},
+		"a loan is over for its dealer too soon":   {budget: budget.NoDrift},
+		"a holder uses what it gives back":         {budget: budget.KeepsUnits},
+		"who comes to have a budget deals at once": {tenure: tenure.NoWait},
+		"who is cut off deals on":                  {tenure: tenure.NoLease},
+		"parted members are forgotten":             {tenure: tenure.NoParts},
+	} {
+		found := ""
+		seed := uint64(0)
+		for ; found == "" && seed < 1000; seed++ {
+			_, found = play(seed, f)
+		}
+		if found == "" {
+			t.Errorf("%s: not found in %d runs", name, seed)
+		} else {
+			t.Logf("%s: %s", name, found)
+		}
+	}
+}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -11,13 +11,16 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"irispost/decide"
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/keep"
 	"irispost/internal/fleet/rules"
+	"irispost/internal/gateway"
 	"irispost/internal/listing"
 )
 
@@ -29,6 +32,10 @@
 	Now     func() int64  // the gateway's own clock: it never goes back
 	Wake    func()        // what is acted on may have changed; it must not wait
 	Seed    uint64
+	Who     string                        // its name with its start; empty: made here
+	Peer    string                        // where other gateways reach it; empty: they do not
+	Members func(*accord.Members)         // who is present, with each lease of one that is reached; it must not wait
+	Own     decide.Terms                  // the gateway's own: what no version has counts from there
 	Differs func(r *rules.Rules) []string // in what the gateway's own configuration contradicts a version; nil: not asked
 	Record  string                        // file for what was acted on from when; empty: none
 	Flaws   accord.Flaws
@@ -44,14 +51,27 @@
 	until  int64  // and until when it counts
 	first  chan struct{}
 	record *os.File
+	stir   chan struct{} // news has come
+	heard  chan struct{} // a grant was taken in
+	which  atomic.Int64  // the keeper that is asked
+	leave  func()        // ends the call that waits for news
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
+// Boot names a start of a gateway, and is told from all others of its name.
+func Boot(gateway string) string {
+	return fmt.Sprintf("%s/%d.%d", gateway, os.Getpid(), time.Now().UnixNano())
+}
+
 // Start begins to follow.
 func Start(opt Options) (*Following, error) {
-	boot := fmt.Sprintf("%s/%d.%d", opt.Gateway, os.Getpid(), time.Now().UnixNano()) // a start is told from all others of its name
-	f := &Following{opt: opt, f: accord.Follow(boot, int64(opt.Pause), opt.Flaws), told: "none", first: make(chan struct{})}
+	boot := opt.Who
+	if boot == "" {
+		boot = Boot(opt.Gateway)
+	}
+	f := &Following{opt: opt, f: accord.Follow(boot, int64(opt.Pause), opt.Flaws), told: "none", first: make(chan struct{}), stir: make(chan struct{}, 1), heard: make(chan struct{}, 1), leave: func() {}}
+	f.f.Reached(opt.Peer)
 	if opt.Record != "" {
 		var err error
 		if f.record, err = os.OpenFile(opt.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
@@ -60,8 +80,9 @@
 	}
 	var ctx context.Context
 	ctx, f.cancel = context.WithCancel(context.Background())
-	f.done.Add(1)
+	f.done.Add(2)
 	go func() { defer f.done.Done(); f.run(ctx) }()
+	go func() { defer f.done.Done(); f.watch(ctx) }()
 	return f, nil
 }
 
@@ -83,14 +104,15 @@
 	chance := rand.New(rand.NewPCG(f.opt.Seed, 7))
 	within := f.opt.Pause
 	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: within}).DialContext, MaxIdleConnsPerHost: 1}}}
-	which, least := chance.IntN(len(f.opt.Keepers)), f.opt.Pause/16
+	least := f.opt.Pause / 16
 	wait := least
+	f.which.Store(int64(chance.IntN(len(f.opt.Keepers))))
 	var seen *rules.Version
 	for ctx.Err() == nil {
 		f.lock.Lock()
 		at := f.f.Due(f.opt.Now())
 		f.lock.Unlock()
-		if !f.sleep(ctx, time.Duration(at-f.opt.Now())) {
+		if !f.rest(ctx, time.Duration(at-f.opt.Now())) {
 			return
 		}
 		f.lock.Lock()
@@ -98,20 +120,24 @@
 		f.lock.Unlock()
 		g := &accord.Grant{}
 		each, end := context.WithTimeout(ctx, within)
-		err := client.One(each, f.opt.Keepers[which], http.MethodPost, "/renew", a, g)
+		err := client.One(each, f.keeper(), http.MethodPost, "/renew", a, g)
 		end()
 		if err == nil {
 			f.lock.Lock()
 			f.f.Heard(f.opt.Now(), g)
-			lines := f.f.Log()
+			lines, members := f.f.Log(), f.f.Members()
 			newest, content := f.f.Newest()
 			f.lock.Unlock()
+			stirred(f.heard)
+			if members != nil && f.opt.Members != nil {
+				f.opt.Members(members)
+			}
 			f.say(lines)
 			f.opt.Wake()
-			if newest != seen && f.opt.Differs != nil { // plans, products and limits still come from there
+			if newest != seen && f.opt.Differs != nil {
 				seen = newest
 				for _, line := range f.opt.Differs(content) {
-					f.opt.Log.Warn("the gateway's own configuration contradicts version "+newest.Name(), "gateway", f.opt.Gateway, "in", line)
+					f.opt.Log.Warn("version "+newest.Name()+" counts, and the gateway's own configuration contradicts it", "gateway", f.opt.Gateway, "in", line)
 				}
 			}
 			if g.Lease > 0 {
@@ -120,7 +146,10 @@
 			}
 		} else {
 			client.HTTP.CloseIdleConnections()
-			which = (which + 1) % len(f.opt.Keepers)
+			f.which.Add(1)
+			f.lock.Lock()
+			f.leave() // news is waited for at the next one too
+			f.lock.Unlock()
 			f.opt.Log.Debug("a keeper gives no lease", "gateway", f.opt.Gateway, "why", err)
 		}
 		if !f.sleep(ctx, time.Duration((0.5+chance.Float64())*float64(wait))) {
@@ -130,6 +159,85 @@
 	}
 }
 
+// keeper is the one that is asked.
+func (f *Following) keeper() string {
+	return f.opt.Keepers[f.which.Load()%int64(len(f.opt.Keepers))]
+}
+
+// newsHold is for how long a keeper may have this gateway wait for news. Nothing hangs on hearing of it in time.
+const newsHold = 10 * time.Second
+
+// watch waits at the keeper that is asked for news, so that leases alone have to be asked for. A call that breaks, falls silent or is
+// refused has the gateway ask as often as without.
+func (f *Following) watch(ctx context.Context) {
+	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: f.opt.Pause}).DialContext, MaxIdleConnsPerHost: 1}}}
+	chance := rand.New(rand.NewPCG(f.opt.Seed, 11))
+	for ctx.Err() == nil {
+		f.lock.Lock()
+		term, inForce, announced := f.f.Known()
+		f.lock.Unlock()
+		news := false
+		if term > 0 {
+			each, end := context.WithTimeout(ctx, newsHold+f.opt.Pause)
+			f.lock.Lock()
+			f.leave = end
+			f.f.Watched(true)
+			f.lock.Unlock()
+			err := client.One(each, f.keeper(), http.MethodGet, fmt.Sprintf("/news?term=%d&in_force=%d&announced=%d&hold_ms=%d", term, inForce, announced,
+				newsHold.Milliseconds()), nil, &news)
+			end()
+			if err != nil {
+				client.HTTP.CloseIdleConnections()
+			}
+			f.lock.Lock()
+			f.f.Watched(err == nil)
+			if err != nil || news {
+				f.f.News()
+			}
+			f.lock.Unlock()
+			if news || err != nil {
+				select {
+				case <-f.heard: // what was heard before this
+				default:
+				}
+				stirred(f.stir)
+			}
+			if err == nil && !news {
+				continue
+			}
+		}
+		select { // what is news has to be asked for before it is known
+		case <-ctx.Done():
+		case <-f.heard:
+		case <-time.After(time.Duration((0.5 + chance.Float64()) * float64(f.opt.Pause))):
+		}
+	}
+}
+
+// stirred tells who waits, now or later, that something has happened; several that were not seen are one.
+func stirred(to chan struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
+	}
+}
+
+// rest sleeps until something is due, or news comes.
+func (f *Following) rest(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-f.stir:
+	case <-t.C:
+	}
+	return true
+}
+
 func (f *Following) sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
@@ -150,9 +258,9 @@
 	}
 }
 
-// At is called by the loop with the time that it has read, before it decides: the list to tell the module where it has
-// changed, nil where not, and when to ask again at the latest, 0 for no need.
-func (f *Following) At(now int64) (*listing.List, int64) {
+// At is called by the loop with the time that it has read, before it decides: the list and the terms to tell the module where
+// they have changed, nil where not, and when to ask again at the latest, 0 for no need.
+func (f *Following) At(now int64) (*gateway.Acts, int64) {
 	f.lock.Lock()
 	ends := f.until
 	effect := f.f.At(now)
@@ -179,17 +287,16 @@
 		}
 		fmt.Fprintf(f.record, "%d %v %v\n", t.Nano()-since, floor, holds)
 	}
-	list := &listing.List{Version: name}
+	acts := &gateway.Acts{List: listing.List{Version: name}}
 	if effect != nil {
-		l := effect.List(name)
-		list = &l
+		acts.List, acts.Terms = effect.List(name), effect.Terms(f.opt.Own)
 		select {
 		case <-f.first:
 		default:
 			close(f.first)
 		}
 	}
-	return list, until
+	return acts, until
 }
 
 // Status is how the gateway stands with the keepers: its state, and what it acts on.
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -24,6 +24,7 @@
 	dir   string
 	peers map[uint64]string
 	up    map[uint64]*Keeper
+	joins uint64 // the one that did not found the fleet
 }
 
 func newHome(t *testing.T) *home {
@@ -50,8 +51,8 @@
 	var k *Keeper
 	var err error
 	for range 200 { // the address of a keeper that has just ended may be taken for a moment
-		k, err = Start(Options{Number: id, Listen: h.peers[id], Peers: h.peers, Dir: h.folder(id), Terms: accord.Terms{Lease: 3e8, Drift: 0.01},
-			Tick: 10 * time.Millisecond, Compact: 20, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		k, err = Start(Options{Number: id, Listen: h.peers[id], Peers: maps.Clone(h.peers), Joins: id == h.joins, Dir: h.folder(id), Terms: accord.Terms{Lease: 3e8, Drift: 0.01},
+			Tick: 10 * time.Millisecond, Compact: 20, Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
 		if err == nil || !strings.Contains(err.Error(), "in use") {
 			break
 		}
--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -24,11 +25,31 @@
 	"irispost/internal/fleet/rules"
 )
 
+// standing is the log's state as this keeper leads by it, until it changes: then changed is closed. Who does not lead has none.
+type standing struct {
+	term, inForce, announced uint64
+	leads                    bool
+	changed                  chan struct{}
+}
+
+// tell has those who wait for news know of what has changed.
+func (k *Keeper) tell() {
+	now := standing{term: k.term, inForce: k.ledger.InForce, announced: k.ledger.Announced, leads: k.warden != nil && k.ledger.Terms.Lease > 0}
+	was := k.stand.Load()
+	if now.changed = was.changed; now == *was {
+		return
+	}
+	now.changed = make(chan struct{})
+	k.stand.Store(&now)
+	close(was.changed)
+}
+
 // Options are what a keeper is started with.
 type Options struct {
 	Number  uint64
 	Listen  string
 	Peers   map[uint64]string // all keepers' addresses as this one reaches them, by number; its own is not used
+	Joins   bool              // it does not found the fleet with them, and votes once they have taken it in
 	Dir     string
 	Terms   accord.Terms // for the founding; a fleet that is founded keeps its own
 	Tick    time.Duration
@@ -57,7 +78,11 @@
 	gathered  time.Time // when the last batch began
 	gather    *time.Timer
 	calls     chan func()
+	stand     atomic.Pointer[standing] // what those know who wait for news
 	peers     map[uint64]*peer
+	addrs     map[uint64]string // of all keepers that ever were, by number
+	voting    *votersCall       // a change of voters that is under way; nil: none that was asked for here
+	ctx       context.Context
 	http      *http.Server
 	listener  net.Listener
 	start     time.Time
@@ -103,16 +128,24 @@
 	if opt.Compact == 0 {
 		opt.Compact = 2000
 	}
-	s, err := openStore(opt.Dir, opt.Number, voters)
+	founders := voters
+	if opt.Joins {
+		founders = nil
+	}
+	s, err := openStore(opt.Dir, opt.Number, founders)
 	if err != nil {
 		return nil, err
 	}
 	k := &Keeper{opt: opt, log: opt.Log.With("keeper", opt.Number), store: s, waiting: map[string]chan result{}, calls: make(chan func(), 1024),
 		peers: map[uint64]*peer{}, start: time.Now(), ended: make(chan struct{}), gather: time.NewTimer(0)}
+	k.stand.Store(&standing{changed: make(chan struct{})})
 	snap, err := s.memory.Snapshot()
 	if err == nil {
 		k.applied, k.conf = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetConfState()
-		k.ledger, err = accord.Restore(snap.GetData())
+		k.ledger = accord.NewLedger()
+		if !raft.IsEmptySnap(snap) {
+			k.ledger, err = accord.Restore(snap.GetData())
+		}
 	}
 	if err != nil {
 		s.db.Close()
@@ -123,26 +156,20 @@
 		return nil, err
 	}
 	k.node, err = raft.NewRawNode(&raft.Config{ID: opt.Number, ElectionTick: 10, HeartbeatTick: 2, Storage: s.memory, Applied: k.applied,
-		MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true,
+		MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
 		DisableProposalForwarding: true, Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}})
 	if err != nil {
 		k.listener.Close()
 		s.db.Close()
 		return nil, err
 	}
-	var ctx context.Context
-	ctx, k.cancel = context.WithCancel(context.Background())
-	for id, addr := range opt.Peers {
-		if id != opt.Number {
-			p := newPeer(k, id, addr)
-			k.peers[id] = p
-			k.done.Add(1)
-			go func() { defer k.done.Done(); p.run(ctx) }()
-		}
-	}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.addrs = s.addrs
+	maps.Copy(k.addrs, opt.Peers) // what it is told now counts before what it was told once
+	k.meet()
 	k.http = &http.Server{Handler: k.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	go k.http.Serve(k.listener)
-	go k.run(ctx)
+	go k.run(k.ctx)
 	return k, nil
 }
 
@@ -270,6 +297,7 @@
 	for {
 		k.confirm()
 		k.decide()
+		k.tell()
 		if !k.node.HasReady() {
 			return nil
 		}
@@ -335,6 +363,10 @@
 	for _, c := range calls {
 		c.then(nil)
 	}
+	if k.voting != nil {
+		k.voting.to <- ErrNotLeading
+		k.voting = nil
+	}
 	for id, to := range k.waiting {
 		delete(k.waiting, id)
 		to <- result{err: ErrNotLeading}
@@ -353,6 +385,9 @@
 			k.put(&accord.Command{Found: &k.opt.Terms})
 		}
 	}
+	if e.GetType() == raftpb.EntryConfChangeV2 {
+		return k.applyVoters(e)
+	}
 	if e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0 {
 		return nil
 	}
--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/rules"
@@ -20,7 +21,8 @@
 	InForce   uint64         `json:"in_force"`
 	Announced uint64         `json:"announced"`
 	Lease     int64          `json:"lease_ms"`
-	Stated    int64          `json:"stated_ms"`       // T of docs/fleet.md
+	Stated    int64          `json:"stated_ms"` // T of docs/fleet.md
+	Voters    []uint64       `json:"voters"`
 	Waits     []string       `json:"waits,omitempty"` // what an announced version waits for
 	Gateways  []accord.Seen  `json:"gateways"`
 	Newest    *rules.Version `json:"newest,omitempty"`
@@ -80,10 +82,13 @@
 			k.answer(w, r, func(warden *accord.Warden) any { return warden.Renew(k.now(), a) })
 		}
 	})
+	mux.HandleFunc("GET /news", k.news)
+	mux.Handle("GET /metrics", k.metrics())
+	mux.HandleFunc("POST /voters", k.votersHandler)
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
 		k.answer(w, r, func(warden *accord.Warden) any {
 			l := k.ledger
-			s := Status{Keeper: k.opt.Number, Leader: k.leader, Term: k.term, InForce: l.InForce, Announced: l.Announced, Lease: l.Terms.Lease / 1e6, Stated: Stated(l.Terms) / 1e6,
+			s := Status{Keeper: k.opt.Number, Leader: k.leader, Term: k.term, InForce: l.InForce, Announced: l.Announced, Voters: k.conf.GetVoters(), Lease: l.Terms.Lease / 1e6, Stated: Stated(l.Terms) / 1e6,
 				Gateways: warden.Look(k.now()), Newest: l.Version(l.Announced)}
 			if l.InForce != l.Announced {
 				s.Waits = warden.Waits(k.now())
@@ -136,6 +141,43 @@
 	return mux
 }
 
+// longestHold is for how long a keeper has somebody wait for news: what a way between may let a connection stand idle.
+const longestHold = 20 * time.Second
+
+// news answers once the log's state is another than who asks knows, or after a while. It gives no lease and confirms nothing: who
+// hears of news asks for it. What it says may be wrong where this keeper wrongly believes that it leads.
+func (k *Keeper) news(w http.ResponseWriter, r *http.Request) {
+	number := func(name string) uint64 {
+		n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+		return n
+	}
+	known := standing{term: number("term"), inForce: number("in_force"), announced: number("announced"), leads: true}
+	hold := time.NewTimer(min(time.Duration(number("hold_ms"))*time.Millisecond, longestHold))
+	defer hold.Stop()
+	for {
+		s := k.stand.Load()
+		known.changed = s.changed
+		switch {
+		case !s.leads:
+			k.elsewhere(w)
+			return
+		case *s != known:
+			w.Write([]byte("true"))
+			return
+		}
+		select {
+		case <-s.changed:
+		case <-hold.C:
+			w.Write([]byte("false"))
+			return
+		case <-r.Context().Done():
+			return
+		case <-k.ended:
+			return
+		}
+	}
+}
+
 // read reads a request's JSON.
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(io.LimitReader(r.Body, 64<<20)).Decode(into); err != nil {
--- a/internal/fleet/keep/store.go
+++ b/internal/fleet/keep/store.go
@@ -28,6 +28,7 @@
 	memory *raft.MemoryStorage // the log as Raft reads it; it follows the disk
 	starts uint64
 	known  map[uint64]uint64 // starts of others
+	addrs  map[uint64]string // of keepers, as changes of voters told
 }
 
 var (
@@ -40,7 +41,7 @@
 // identity is what a folder belongs to.
 type identity struct {
 	Number uint64   `json:"number"`
-	Voters []uint64 `json:"voters"`
+	Voters []uint64 `json:"voters"` // that founded the fleet; null: it joined later
 	Starts uint64   `json:"starts"`
 }
 
@@ -69,7 +70,7 @@
 		db.Close()
 		return nil, err
 	}
-	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}}
+	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, addrs: map[uint64]string{}}
 	if err := s.load(file, self, voters); err != nil {
 		db.Close()
 		return nil, err
@@ -95,14 +96,20 @@
 				return err
 			}
 		}
+		if b := tx.Bucket(bucketSelf).Get([]byte("addresses")); b != nil {
+			if err := json.Unmarshal(b, &s.addrs); err != nil {
+				return fmt.Errorf("%s: %w", file, err)
+			}
+		}
 		id := identity{Number: self, Voters: voters}
 		if b := tx.Bucket(bucketSelf).Get([]byte("identity")); b != nil {
 			if err := json.Unmarshal(b, &id); err != nil {
 				return fmt.Errorf("%s: %w", file, err)
 			}
-			if id.Number != self || !slices.Equal(id.Voters, voters) {
+			if id.Number != self || voters != nil && id.Voters != nil && len(s.addrs) == 0 && !slices.Equal(id.Voters, voters) {
 				return fmt.Errorf("%s belongs to keeper %d of %v, and this is keeper %d of %v", file, id.Number, id.Voters, self, voters)
 			}
+			voters = id.Voters // that it was founded with; who votes now is in the log
 		}
 		id.Starts++
 		s.starts = id.Starts
@@ -121,10 +128,12 @@
 				return fmt.Errorf("%s: snapshot: %w", file, err)
 			}
 		}
-		if err := s.memory.ApplySnapshot(snap); err != nil {
+		hard := &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
+		if len(snap.GetMetadata().GetConfState().GetVoters()) == 0 { // it joins: all that it knows comes from those who vote
+			hard = &raftpb.HardState{}
+		} else if err := s.memory.ApplySnapshot(snap); err != nil {
 			return err
 		}
-		hard := &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
 		if b := tx.Bucket(bucketRaft).Get([]byte("hard")); b != nil {
 			hard = &raftpb.HardState{}
 			if err := proto.Unmarshal(b, hard); err != nil {
@@ -240,6 +249,15 @@
 	return nil
 }
 
+// address keeps the keepers' addresses.
+func (s *store) address(addrs map[uint64]string) error {
+	b, err := json.Marshal(addrs)
+	if err != nil {
+		return err
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketSelf).Put([]byte("addresses"), b) })
+}
+
 // hello notes a start of another keeper; false tells that a later one is known already.
 func (s *store) hello(from, starts uint64) (bool, error) {
 	if starts <= s.known[from] {
--- /dev/null
+++ b/internal/fleet/keep/voters_test.go
@@ -0,0 +1,110 @@
+package keep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"irispost/internal/fleet/accord"
+)
+
+// A keeper whose folder is lost is replaced by one with another number, while versions are proposed; with one more lost, the two that are
+// left, of which one has come later, go on, also after they have all started again.
+func TestKeeperIsReplaced(t *testing.T) {
+	h := newHome(t)
+	h.must(1, 2, 3)
+	c := h.client()
+	propose := func(n int) {
+		t.Helper()
+		if _, err := c.Propose(&accord.Proposal{ID: fmt.Sprint(n), Parent: uint64(n - 1), Over: true, Rules: some(float64(n))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := 1; n <= 30; n++ { // past a compaction
+		propose(n)
+	}
+	h.stop(2)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.peers[4] = l.Addr().String()
+	l.Close()
+	c.Keepers = append(c.Keepers, h.peers[4])
+	h.joins = 4
+	h.must(4)
+	for _, v := range []*Voters{{Remove: []uint64{7}}, {Add: map[uint64]string{2: "a:1"}}, {}, {Add: map[uint64]string{5: ""}}} {
+		var refused *RefusedError
+		if err := c.Voters(v); !errors.As(err, &refused) {
+			t.Errorf("%+v: %v", v, err)
+		}
+	}
+	if err := c.Voters(&Voters{Add: map[uint64]string{4: h.peers[4]}, Remove: []uint64{2}}); err != nil {
+		t.Fatal(err)
+	}
+	propose(31)
+	if s, err := c.Status(); err != nil || fmt.Sprint(s.Voters) != "[1 3 4]" {
+		t.Fatalf("%+v, %v", s.Voters, err)
+	}
+	h.stop(1)
+	propose(32)
+	h.stop(3, 4)
+	h.joins = 4
+	delete(h.peers, 2) // what keepers are told at their start is what there is now
+	h.must(3, 4)
+	propose(33)
+	if list, err := c.Versions(1); err != nil || len(list) != 33 {
+		t.Errorf("%d versions, %v", len(list), err)
+	}
+}
+
+// Who waits for news is left waiting while there is none, and hears of a version at once; a keeper that does not lead says so.
+func TestNewsIsWaitedFor(t *testing.T) {
+	h := newHome(t)
+	h.must(1, 2, 3)
+	c := h.client()
+	if _, err := c.Propose(&accord.Proposal{ID: "a", Rules: some(1)}); err != nil {
+		t.Fatal(err)
+	}
+	var s Status
+	for s.InForce != 1 {
+		var err error
+		if s, err = c.Status(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ask := func(keeper uint64, hold time.Duration, term, version uint64) (news bool, err error) {
+		err = c.One(context.Background(), h.peers[keeper], http.MethodGet, fmt.Sprintf("/news?term=%d&in_force=%d&announced=%d&hold_ms=%d", term, version, version,
+			hold.Milliseconds()), nil, &news)
+		return news, err
+	}
+	if news, err := ask(s.Leader, time.Millisecond, s.Term, 1); news || err != nil {
+		t.Errorf("where there is none: %t, %v", news, err)
+	}
+	if news, err := ask(s.Leader, time.Hour, s.Term, 0); !news || err != nil {
+		t.Errorf("of a version that is not known: %t, %v", news, err)
+	}
+	if _, err := ask(s.Leader%3+1, time.Hour, s.Term, 1); err == nil || !strings.Contains(err.Error(), "does not lead") {
+		t.Errorf("at one that does not lead: %v", err)
+	}
+	heard := make(chan error, 1)
+	go func() {
+		news, err := ask(s.Leader, longestHold, s.Term, 1)
+		if err == nil && !news {
+			err = errors.New("it was left waiting")
+		}
+		heard <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if _, err := c.Propose(&accord.Proposal{ID: "b", Parent: 1, Rules: some(2)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-heard; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/fleet/rules/rules_test.go
+++ b/internal/fleet/rules/rules_test.go
@@ -201,3 +201,35 @@
 		t.Errorf("a part that is not known: %v", err)
 	}
 }
+
+// What rules are in the module's form says the same again, whatever a gateway's own values were.
+func TestTermsSayTheSame(t *testing.T) {
+	sameSeeds(t)
+	rapid.Check(t, func(t *rapid.T) {
+		r, other := some(t), some(t)
+		micro := func(list ...*int64) {
+			for _, ns := range list {
+				*ns *= 1000
+			}
+		}
+		micro(&r.Cold.Time, &r.Cold.Window, &r.Further.Window, &r.Sending.AdviceMost, &r.Sending.KeyRest)
+		for name, p := range r.Products {
+			micro(&p.Goal, &p.Patience, &p.Window)
+			r.Products[name] = p
+		}
+		terms := r.Terms(other.Terms(map[string]string{"gateways": "7", "plans.9.name": "old"}))
+		if terms["gateways"] != "7" || terms["plans.9.name"] != "" {
+			t.Fatalf("%v", terms)
+		}
+		again := &Rules{Needs: r.Needs, Shards: r.Shards, Mean: r.Mean, Floor: r.Floor, Nodes: r.Nodes}
+		again.Agree(terms)
+		if again.Digest() != r.Digest() {
+			t.Fatalf("%s\n%s", r.Canonical(), again.Canonical())
+		}
+	})
+	for name, v := range (&Rules{Shards: 1}).Nothing().Terms(nil) {
+		if strings.HasPrefix(v, "-") || strings.Contains(v, "Inf") {
+			t.Errorf("%s is %s", name, v)
+		}
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -65,10 +66,16 @@
 	Late() int64                // answers that came after their execution was given up
 }
 
-// Rules tell what a gateway that follows versions acts on at the time that the loop has read: the list where it has changed, nil
+// Acts is what a gateway that follows versions acts on: the list of nodes, and the terms; nil: those that it has.
+type Acts struct {
+	List  listing.List
+	Terms decide.Terms
+}
+
+// Rules tell what a gateway that follows versions acts on at the time that the loop has read, where it has changed, nil
 // where not, and when to ask again at the latest, 0 for no need. What is decided by that reading is decided under it.
 type Rules interface {
-	At(now decide.Time) (*listing.List, decide.Time)
+	At(now decide.Time) (*Acts, decide.Time)
 }
 
 // Options are what a loop is started with.
@@ -132,8 +139,9 @@
 	jobs     map[*decide.Job]*job
 	count    int64
 	due      dueExecs
-	outdated bool        // that time has passed within a turn
-	until    decide.Time // nothing is sent after it by what was decided before; 0: no such time
+	outdated bool         // that time has passed within a turn
+	terms    decide.Terms // that the module acts on
+	until    decide.Time  // nothing is sent after it by what was decided before; 0: no such time
 	figures  Figures
 	quit     chan struct{}
 	gate     sync.RWMutex // held for reading while an event is handed in, so that the end misses none
@@ -144,7 +152,7 @@
 // Start starts a loop.
 func Start(opt Options) *Loop {
 	l := &Loop{opt: opt, events: make(chan event, max(opt.Queue, 1)), jobs: map[*decide.Job]*job{},
-		quit: make(chan struct{}), ended: make(chan struct{}), figures: Figures{Products: map[string]*Counts{}}}
+		terms: opt.Terms, quit: make(chan struct{}), ended: make(chan struct{}), figures: Figures{Products: map[string]*Counts{}}}
 	l.module.tap = opt.Tap
 	now := opt.Clock.Now()
 	l.module.start(now, opt.Seed, opt.Terms)
@@ -180,7 +188,7 @@
 func (l *Loop) Do(s *Session, w *Work) <-chan Result {
 	j := &job{work: w, session: s, done: make(chan Result, 1)}
 	if !l.post(func(now decide.Time) { l.take(now, j) }) {
-		j.tell(Result{State: decide.WrittenOff, Why: "the gateway has ended"})
+		j.tell(Result{State: ending(j), Why: "the gateway has ended"})
 	}
 	return j.done
 }
@@ -242,12 +250,12 @@
 	go l.opt.Nodes.Keep(keep)
 }
 
-// ListFailed tells that the list could not be had.
-func (l *Loop) ListFailed() {
-	l.post(func(now decide.Time) { l.module.listFailed(now) })
+// ListFailed tells that the list could not be had; silent that its service said nothing at all.
+func (l *Loop) ListFailed(silent bool) {
+	l.post(func(now decide.Time) { l.module.listFailed(now, silent) })
 }
 
-// Stop ends the loop. What it still holds is written off.
+// Stop ends the loop. What it still holds is written off where it may have run, and dismissed where not.
 func (l *Loop) Stop() {
 	l.once.Do(func() { close(l.quit) })
 	<-l.ended
@@ -292,9 +300,13 @@
 	if l.opt.Rules == nil {
 		return
 	}
-	var list *listing.List
-	if list, l.until = l.opt.Rules.At(now); list != nil {
-		l.listed(now, *list)
+	var acts *Acts
+	if acts, l.until = l.opt.Rules.At(now); acts != nil {
+		if acts.Terms != nil && !maps.Equal(acts.Terms, l.terms) {
+			l.terms = acts.Terms
+			l.module.agree(now, acts.Terms)
+		}
+		l.listed(now, acts.List)
 	}
 }
 
@@ -406,7 +418,7 @@
 		c.Mark = de.Job.ID
 	}
 	heap.Push(&l.due, e)
-	if l.until > 0 && l.opt.Clock.Now() >= l.until { // the process stood still since the loop has read the clock
+	if t := l.opt.Clock.Now(); l.until > 0 && t >= l.until || de.Till > 0 && t >= de.Till { // the process stood still since the loop has read the clock
 		e.sent, l.outdated = unsent{}, true
 		l.again = append(l.again, func(now decide.Time) {
 			l.outcome(now, e, decide.Unconnected, node.Answer{Text: "what was decided is out of date"})
@@ -469,7 +481,15 @@
 	delete(l.jobs, j.decided)
 }
 
-// end writes off what is held.
+// ending is the state of a job whose gateway has ended: what can never have run may be tried again without harm.
+func ending(j *job) decide.JobState {
+	if j.ran() {
+		return decide.WrittenOff
+	}
+	return decide.Dismissed
+}
+
+// end gives what is held its answer.
 func (l *Loop) end() {
 	l.gate.Lock()
 	defer l.gate.Unlock()
@@ -483,7 +503,7 @@
 		break
 	}
 	for _, j := range l.jobs {
-		l.finish(j, Result{State: decide.WrittenOff, Why: "the gateway ends"})
+		l.finish(j, Result{State: ending(j), Why: "the gateway ends"})
 	}
 }
 
--- a/internal/gateway/module.go
+++ b/internal/gateway/module.go
@@ -11,7 +11,9 @@
 	Start(now decide.Time, seed uint64, terms decide.Terms)
 	Listed(now decide.Time, l listing.List)
 	ListedPart(now decide.Time, l listing.List, whole bool)
-	ListFailed(now decide.Time)
+	ListFailed(now decide.Time, silent bool)
+	Agreed(now decide.Time, terms decide.Terms)
+	Lent(now decide.Time, addr string, born decide.Time, units float64, till decide.Time)
 	Take(now decide.Time, j *decide.Job, volume int64, plan, product string, hosts float64, keyed bool)
 	Ended(now decide.Time, job string, number int, o decide.Outcome, took decide.Time, final bool, others float64, inflight int,
 		latency decide.Time)
@@ -53,11 +55,25 @@
 	Tell(m.gateway, now, l, !l.Part)
 }
 
-func (m *module) listFailed(now decide.Time) {
+func (m *module) listFailed(now decide.Time, silent bool) {
 	if m.tap != nil {
-		m.tap.ListFailed(now)
+		m.tap.ListFailed(now, silent)
 	}
-	m.gateway.ListFailed(now)
+	m.gateway.ListFailed(now, silent)
+}
+
+func (m *module) agree(now decide.Time, terms decide.Terms) {
+	if m.tap != nil {
+		m.tap.Agreed(now, terms)
+	}
+	m.gateway.Agree(now, terms)
+}
+
+func (m *module) lend(now decide.Time, addr string, born decide.Time, units float64, till decide.Time) float64 {
+	if m.tap != nil {
+		m.tap.Lent(now, addr, born, units, till)
+	}
+	return m.gateway.Lend(now, addr, born, units, till)
 }
 
 // Tell tells a module of a list. One that is not whole leaves out what has not changed.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,6 +104,7 @@
 			}
 		}
 	})
+	c.Terms["discovery"] = "ask" // whoever changes it, over HTTP the list comes to who asks
 	if c.Connect == 0 || c.Idle == 0 {
 		return nil, errors.New("settings: permissions.dial_timeout_ms and permissions.idle_close_ms have to be above 0")
 	}
@@ -177,12 +178,15 @@
 	return min(time.Duration(longest*float64(time.Millisecond)), longestWait) + afterWait
 }
 
+// longestHold leaves two of the six seconds after which what a silent watch missed counts as told.
+const longestHold = 4 * time.Second
+
 // Hold is how long the list's service may hold a watch open: often enough within the time after which a gateway that has not asked
 // counts as told all the same, so that a service that fell silent is noticed before.
 func (c *Config) Hold() time.Duration {
 	ms, _ := strconv.ParseFloat(c.Terms["list.every"], 64)
 	if ms <= 0 {
-		return 20 * time.Second
+		return longestHold
 	}
-	return min(time.Duration(ms/4*float64(time.Millisecond)), time.Minute)
+	return min(time.Duration(ms/4*float64(time.Millisecond)), longestHold)
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -27,6 +27,10 @@
 	if c.Grace() != 3700*time.Millisecond || c.Hold() != 2500*time.Millisecond {
 		t.Errorf("grace %v, hold %v", c.Grace(), c.Hold())
 	}
+	pushed, err := platform.Parse([]byte(strings.Replace(strings.Replace(whole, `"ask_every_ms":10000.0`, "", 1), `"settings":{`, `"settings":{"discovery":"push",`, 1)), none)
+	if err != nil || pushed.Terms["discovery"] != "ask" || pushed.Hold() != 4*time.Second { // six seconds of silence, less the two that follow a wait
+		t.Errorf("where lists are pushed: %v, %q, hold %v", err, pushed.Terms["discovery"], pushed.Hold())
+	}
 	env := func(name string) string { return "of " + name }
 	c, err = platform.Parse([]byte(strings.Replace(strings.Replace(whole, `"name":"n3",`, "", 1), `"hard_limit_ms":4000`, `"hard_limit_ms":900`, 1)), env)
 	if err != nil || c.Name != "of PROXY_NAME" || c.Discovery != "10.2.0.1:8500" || c.Grace() != 3200*time.Millisecond {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -176,8 +176,13 @@
 	switch rec.Kind {
 	case capture.Listed, capture.ListedPart:
 		gateway.Tell(r.module, rec.At, listing.List{Stale: rec.Stale, Nodes: rec.Nodes}, rec.Kind == capture.Listed)
-	case capture.ListFailed:
-		r.module.ListFailed(rec.At)
+	case capture.ListFailed, capture.ListSilent:
+		r.module.ListFailed(rec.At, rec.Kind == capture.ListSilent)
+	case capture.Agreed:
+		r.learn(rec.Terms)
+		r.module.Agree(rec.At, rec.Terms)
+	case capture.Lent:
+		r.module.Lend(rec.At, rec.Node, rec.Born, rec.Units, rec.Till)
 	case capture.Begun:
 		r.tell(rec.Job, rec.At, "execution %d: its answer begins to flow", rec.Number)
 		r.module.Begun(rec.At, rec.Job, rec.Number)
@@ -235,17 +240,22 @@
 func (r *Replay) start(rec *capture.Record) {
 	r.module = decide.New(rec.At, rec.Seed, rec.Terms)
 	r.report.from, r.jobs = rec.At, map[string]*job{} // of one that was killed, nothing is left
+	r.learn(rec.Terms)
+	r.move(Running, "")
+}
+
+// learn takes the products' goals from terms.
+func (r *Replay) learn(terms decide.Terms) {
 	for i := 0; ; i++ {
 		item := fmt.Sprintf("products.%d.", i)
-		name, there := rec.Terms[item+"name"]
+		name, there := terms[item+"name"]
 		if !there {
-			break
+			return
 		}
 		var ms float64
-		fmt.Sscan(rec.Terms[item+"goal"], &ms)
+		fmt.Sscan(terms[item+"goal"], &ms)
 		r.goals[name] = decide.Time(ms * 1e6)
 	}
-	r.move(Running, "")
 }
 
 func (r *Replay) take(rec *capture.Record) {
--- a/internal/serve/follow_test.go
+++ b/internal/serve/follow_test.go
@@ -87,15 +87,15 @@
 		})
 	}
 	stands("acting on 1.")
-	if has("contradicts version") {
+	if has("contradicts it") {
 		t.Error("the same settings are said to contradict")
 	}
 	p := r.Plans["basic"]
-	p.Limit = 7
+	p.Limit, p.Burst = 7, 7
 	r.Plans["basic"] = p
 	propose(1)
 	stands("acting on 2.")
-	until(func() bool { return has("contradicts version 2.") && has("limit none over 7") })
+	until(func() bool { return has("version 2.") && has("limit none over 7") })
 	k.Close()
 	stands("ended on none")
 	if err := sftp.Mkdir("/meals/month"); err == nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"os"
 	"path/filepath"
 	"runtime/debug"
 	"sync"
@@ -15,7 +14,7 @@
 
 	"irispost/internal/admin"
 	"irispost/internal/config"
-	"irispost/internal/fleet/accord"
+	"irispost/internal/fleet/cold/agent"
 	"irispost/internal/fleet/follow"
 	"irispost/internal/front"
 	"irispost/internal/gateway"
@@ -38,6 +37,7 @@
 	admin    *admin.Server // nil: none
 	captures captures
 	roster   *roster.Roster
+	cold     *agent.Agent      // nil: other gateways do not reach it
 	follow   *follow.Following // nil: it follows no keepers
 	nodes    *node.Client
 	log      *slog.Logger
@@ -89,17 +89,10 @@
 	opt := gateway.Options{Name: c.Name, Seed: c.Seed, Terms: c.Terms, Queue: c.Queue, Clock: gateway.NewClock(), Nodes: g.nodes, Log: log, Tap: tap}
 	first := (<-chan struct{})(nil)
 	if c.Follow != nil {
-		stands := make(chan struct{}) // the loop, which a first word may come before
 		var err error
-		g.follow, err = follow.Start(follow.Options{Gateway: c.Name, Keepers: c.Follow.Keepers, Pause: c.Follow.Pause, Now: opt.Clock.Now,
-			Wake: func() { <-stands; g.Loop.Wake() }, Seed: c.Seed, Differs: c.Agreed,
-			Record: c.Follow.Record, Log: log, Flaws: flaws()})
-		if err != nil {
+		if first, err = g.followed(&opt); err != nil {
 			return nil, err
 		}
-		opt.Rules, first = g.follow, g.follow.First()
-		g.Loop = gateway.Start(opt)
-		close(stands)
 	} else {
 		g.Loop = gateway.Start(opt)
 	}
@@ -148,14 +141,6 @@
 	return g.roster.First()
 }
 
-// flaws are what a test of the fleet has switched off, to show that its audit notices. Nothing else sets them.
-func flaws() accord.Flaws {
-	if os.Getenv("IRISPOST_TEST_NO_LEASES") == "1" {
-		return accord.NoLease
-	}
-	return 0
-}
-
 func (g *Gateway) spawn(f func()) {
 	g.done.Add(1)
 	go func() { defer g.done.Done(); f() }()
@@ -264,6 +249,9 @@
 	if g.follow != nil {
 		g.follow.Close()
 	}
+	if g.cold != nil {
+		g.cold.Close()
+	}
 	g.nodes.Close()
 	g.done.Wait()
 	g.captures.end(g)
