--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -55,6 +55,7 @@
 	heard  chan struct{} // a grant was taken in
 	which  atomic.Int64  // the keeper that is asked
 	leave  func()        // ends the call that waits for news
+	calm   atomic.Int64  // until then what was told last counts, unless something is heard; 0: look
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -125,6 +126,7 @@
 		if err == nil {
 			f.lock.Lock()
 			f.f.Heard(f.opt.Now(), g)
+			f.calm.Store(0)
 			lines, members := f.f.Log(), f.f.Members()
 			newest, content := f.f.Newest()
 			f.lock.Unlock()
@@ -261,6 +263,9 @@
 // At is called by the loop with the time that it has read, before it decides: the list and the terms to tell the module where
 // they have changed, nil where not, and when to ask again at the latest, 0 for no need.
 func (f *Following) At(now int64) (*gateway.Acts, int64) {
+	if until := f.calm.Load(); now < until {
+		return nil, until
+	}
 	f.lock.Lock()
 	ends := f.until
 	effect := f.f.At(now)
@@ -268,6 +273,7 @@
 	holds, floor := f.f.Holds()
 	changed := name != f.told
 	f.told, f.until = name, until
+	f.calm.Store(until)
 	f.lock.Unlock()
 	if len(lines) > 0 {
 		f.say(lines)
--- a/internal/fleet/keep/voters_test.go
+++ b/internal/fleet/keep/voters_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -92,6 +93,14 @@
 	if _, err := ask(s.Leader%3+1, time.Hour, s.Term, 1); err == nil || !strings.Contains(err.Error(), "does not lead") {
 		t.Errorf("at one that does not lead: %v", err)
 	}
+	r, err := http.Get("http://" + h.peers[s.Leader] + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	if b, err := io.ReadAll(r.Body); err != nil || !strings.Contains(string(b), "irispost_keeper_leads 1") || !strings.Contains(string(b), `irispost_keeper_version{which="in_force"} 1`) {
+		t.Errorf("%v: %s", err, b)
+	}
 	heard := make(chan error, 1)
 	go func() {
 		news, err := ask(s.Leader, longestHold, s.Term, 1)
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -119,6 +120,22 @@
 			final := e.Job.State.Over() || o == decide.Served
 			rec.Ended(now, e.Job.ID, e.Number, o, now-e.Sent, final, 0.5, 1, 2)
 			g.Ended(now, e.Job.ID, e.Number, o, now-e.Sent, final, 0.5)
+		case p == 97:
+			switch r.IntN(3) {
+			case 0:
+				other := maps.Clone(terms)
+				other["plans.0.rate"], other["plans.1.name"] = fmt.Sprint(50+r.IntN(200)), []string{"q", "z"}[r.IntN(2)]
+				rec.Agreed(now, other)
+				g.Agree(now, other)
+			case 1:
+				silent := r.IntN(2) == 0
+				rec.ListFailed(now, silent)
+				g.ListFailed(now, silent)
+			default:
+				addr, units, till := fmt.Sprint("n", r.IntN(4)), 4*r.Float64(), now+decide.Time(r.IntN(int(decide.Second)))
+				rec.Lent(now, addr, 0, units, till)
+				g.Lend(now, addr, 0, units, till)
+			}
 		case p == 98:
 			list()
 		case len(out) > 0:
--- a/internal/serve/admin_test.go
+++ b/internal/serve/admin_test.go
@@ -1,6 +1,10 @@
 package serve_test
 
 import (
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +19,25 @@
 	"irispost/internal/testkit"
 )
 
+// scrape reads a gateway's metrics.
+func scrape(t *testing.T, socket string) string {
+	t.Helper()
+	c := http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", socket)
+	}}}
+	defer c.CloseIdleConnections()
+	r, err := c.Get("http://gateway/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil || r.StatusCode != http.StatusOK {
+		t.Fatalf("%d, %v: %s", r.StatusCode, err, b)
+	}
+	return string(b)
+}
+
 // A capture is started and stopped through the admin socket while clients work and nodes fail; a second one at the same
 // time is refused; what was captured replays to the same decisions.
 func TestCaptureWhileServing(t *testing.T) {
@@ -43,6 +66,9 @@
 		}()
 	}
 	a := admin.Dial(socket, time.Minute)
+	for _, line := range []string{"irispost_up 1", `irispost_nodes{state=`, `irispost_jobs_total{outcome="completed",product="read"}`} {
+		until(func() bool { return strings.Contains(scrape(t, socket), line) }) // jobs are there once clients work
+	}
 	done := func() int64 { // jobs that are over
 		s, err := a.Status()
 		if err != nil {
