--- a/internal/day/town.go
+++ b/internal/day/town.go
@@ -194,6 +194,22 @@
 		h.lock.Unlock()
 		return nil
 	}
+	tries := 1
+	if t.script.Fleet.Peers { // its address for the others may be taken for a moment by a connection that somebody makes
+		tries = 40
+	}
+	var err error
+	for range tries {
+		if err = t.launch(h); err == nil {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return err
+}
+
+// launch starts a gateway's process, and waits until it says where it serves.
+func (t *town) launch(h *host) error {
 	cmd := exec.Command(t.opt.Program, "serve", "--config", h.file)
 	cmd.Stderr = t.opt.Log
 	out, err := cmd.StdoutPipe()
