--- a/internal/fleet/cold/agent/agent.go
+++ b/internal/fleet/cold/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -32,7 +33,6 @@
 	Reach   map[string]string // where this gateway reaches another, by the address that it gives; what is not there is reached as given
 	Terms   budget.Terms
 	Now     func() decide.Time // the loop's clock
-	Flaws   budget.Flaws
 	Log     *slog.Logger
 }
 
@@ -52,6 +52,7 @@
 	listener net.Listener
 	server   *http.Server
 	client   *http.Client
+	each     decide.Time // how long a loan counts: it stays as it was at the start, so that who asks and who deals mean the same
 	lock     sync.Mutex
 	tenure   *tenure.Tenure
 	peers    map[string]string // addresses of members
@@ -73,7 +74,8 @@
 	}
 	a := &Agent{opt: opt, listener: l, tenure: tenure.New(opt.Who, 0), peers: map[string]string{}, seen: map[string]decide.Want{},
 		desks: map[string]*desk{}, debts: map[string]*debt{}, free: make(chan struct{}, asksAtOnce)}
-	each := time.Duration(opt.Terms.For)
+	a.each = opt.Terms.For
+	each := time.Duration(a.each)
 	a.client = &http.Client{Timeout: each, Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: each / 2}).DialContext, MaxIdleConnsPerHost: 4,
 		IdleConnTimeout: 30 * time.Second}}
 	mux := http.NewServeMux()
@@ -123,7 +125,7 @@
 	terms := Terms(t, a.opt.Terms.Drift)
 	a.lock.Lock()
 	defer a.lock.Unlock()
-	if terms.For = a.opt.Terms.For; terms != a.opt.Terms { // who asks and who deals have to mean the same time: it stays
+	if terms.For = a.each; terms != a.opt.Terms {
 		a.opt.Terms = terms
 		clear(a.desks)
 	}
@@ -134,7 +136,7 @@
 	number, span := reader(t)
 	window := span("cold.window")
 	return budget.Terms{From: number("cold.from"), Warm: span("cold.time"), Multiple: number("cold.multiple"), Window: window, Units: number("cold.units"),
-		Share: share, For: min(window/6, longestLoan), Drift: drift}
+		Share: share, For: min(cmp.Or(window/6, longestLoan), longestLoan), Drift: drift}
 }
 
 // What is dealt out of what a node bears. The rest is for gateways that reach no dealer: by the module's own ways they send half of it at
--- a/internal/fleet/cold/agent/agent_test.go
+++ b/internal/fleet/cold/agent/agent_test.go
@@ -133,3 +133,10 @@
 		agents[name].Close()
 	}
 }
+
+// Guard: where no window is stated a loan's time still is one, or the duty's clock could not run.
+func TestTermsWithoutAWindow(t *testing.T) {
+	if terms := Terms(decide.Terms{}, 0.01); terms.For <= 0 {
+		t.Errorf("%+v", terms)
+	}
+}
--- a/internal/fleet/cold/agent/borrow.go
+++ b/internal/fleet/cold/agent/borrow.go
@@ -45,7 +45,7 @@
 
 // borrow is the duty that looks for work at cold nodes and borrows for it.
 func (a *Agent) borrow(ctx context.Context) {
-	tick := time.NewTicker(time.Duration(a.opt.Terms.For) / paceParts)
+	tick := time.NewTicker(time.Duration(a.each) / paceParts)
 	defer tick.Stop()
 	for {
 		select {
@@ -90,7 +90,7 @@
 	}
 	if w.Units <= 0 && now < d.sure {
 		if d.state == dealt && now >= d.ends { // nothing is lent, and the dealer is there: what comes waits for a loan
-			d.ends = now + a.opt.Terms.For
+			d.ends = now + a.each
 			a.empty = append(a.empty, debtOf{w.Addr, w.Born, d.ends})
 		}
 		return
@@ -129,7 +129,7 @@
 // ask asks once, and tells the module what came of it.
 func (a *Agent) ask(ctx context.Context, d *debt, owner, addr string, q *request) {
 	began := a.opt.Now()
-	till := began + a.opt.Terms.For
+	till := began + a.each
 	a.lock.Lock()
 	held := d.state == renewing
 	a.lock.Unlock()
@@ -159,11 +159,11 @@
 			a.opt.Log.Info("cold node: no dealer is reached", "gateway", a.opt.Gateway, "node", q.Node, "why", err)
 		}
 		d.move(alone)
-		d.rest = min(max(2*d.rest, a.opt.Terms.For/2), restMost*a.opt.Terms.For)
+		d.rest = min(max(2*d.rest, a.each/2), restMost*a.each)
 		d.next = now + d.rest/2 + decide.Time(q.Seq%uint64(d.rest/2)) // spread
 		return
 	}
-	d.rest, d.ends, d.sure = 0, till, now+sureFor*a.opt.Terms.For
+	d.rest, d.ends, d.sure = 0, till, now+sureFor*a.each
 	d.move(dealt)
 }
 
--- a/internal/fleet/cold/agent/deal.go
+++ b/internal/fleet/cold/agent/deal.go
@@ -56,7 +56,7 @@
 	k.wait[q.Who] = answer
 	a.lend(k)
 	a.lock.Unlock()
-	hold := time.NewTimer(time.Duration(a.opt.Terms.For) / holdParts)
+	hold := time.NewTimer(time.Duration(a.each) / holdParts)
 	defer hold.Stop()
 	select {
 	case l := <-answer:
@@ -96,7 +96,7 @@
 	case rate <= 0:
 		return nil, errRate
 	case k == nil:
-		k = &desk{born: q.Born, dealer: budget.NewDealer(now, a.opt.Terms, now-q.Born, rate, a.opt.Flaws), wait: map[string]chan budget.Loan{}}
+		k = &desk{born: q.Born, dealer: budget.NewDealer(now, a.opt.Terms, now-q.Born, rate, 0), wait: map[string]chan budget.Loan{}}
 		a.desks[q.Node] = k
 		a.opt.Log.Info("cold node: its budget is dealt out here", "gateway", a.opt.Gateway, "node", q.Node, "age_ms", (now-q.Born)/decide.Millisecond, "rate", rate)
 	case q.Born > k.born:
--- a/internal/fleet/cold/budget/dealer.go
+++ b/internal/fleet/cold/budget/dealer.go
@@ -86,9 +86,6 @@
 		room = most
 	}
 	d.ready = max(min(d.ready, room), 0)
-	if d.flaws.Has(Unbounded) {
-		d.ready = 1e9
-	}
 }
 
 // Asked takes an ask in. One that is older than what was heard from its gateway already is left: false.
--- a/internal/fleet/cold/budget/flaws.go
+++ b/internal/fleet/cold/budget/flaws.go
@@ -10,7 +10,6 @@
 	TakesOld                       // an ask that comes twice counts twice
 	BelievesBack                   // more is taken back than was lent
 	NoDrift                        // a loan is over for its dealer before it is for its holder
-	Unbounded                      // a dealer lends whatever is asked for: there is no budget of the fleet
 	KeepsUnits                     // a holder gives back what it goes on using
 )
 
--- a/internal/serve/follow.go
+++ b/internal/serve/follow.go
@@ -6,7 +6,6 @@
 	"irispost/decide"
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/cold/agent"
-	"irispost/internal/fleet/cold/budget"
 	"irispost/internal/fleet/follow"
 	"irispost/internal/gateway"
 )
@@ -20,7 +19,7 @@
 		Seed: c.Seed, Own: c.Terms, Differs: c.Agreed, Record: c.Follow.Record, Log: g.log, Flaws: flaws(), Who: follow.Boot(c.Name)}
 	if c.Follow.Peer != "" {
 		g.cold, err = agent.Listen(agent.Options{Gateway: c.Name, Who: o.Who, Listen: c.Follow.Peer, Reach: c.Follow.Reach, Terms: agent.Terms(c.Terms, clockDrift),
-			Now: opt.Clock.Now, Log: g.log, Flaws: coldFlaws()})
+			Now: opt.Clock.Now, Log: g.log})
 		if err != nil {
 			return nil, err
 		}
@@ -41,14 +40,6 @@
 	return g.follow.First(), nil
 }
 
-// coldFlaws are likewise what a test has switched off.
-func coldFlaws() budget.Flaws {
-	if os.Getenv("IRISPOST_TEST_NO_BUDGET") == "1" {
-		return budget.Unbounded
-	}
-	return 0
-}
-
 // clockDrift is the part by which two gateways' clocks may run apart, as loans are counted.
 const clockDrift = 0.01
 
