Tell that a result is there before it can be had

Seen by reading, shown by a test: tell put the result on its channel and then called Told, which sets the connection's time to read to the past. A connection with bytes ahead is not in that read: it could take the result, answer, set the time for the next request, and have that cut off by the late Told: 408, or a close of a resting connection. At fault: internal/gateway/loop.go, tell. Ruled out: that Do returns after Told, which sets nothing later. Change: Told first. TestToldBeforeTheResult fails without it.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -27,11 +27,13 @@
 }
 
 // tell hands out a job's final answer.
+//
+// Guard: Told comes before the result can be had, lest it wake a wait of whoever has gone on with that.
 func (j *job) tell(r Result) {
-	j.done <- r
 	if j.work.Told != nil {
 		j.work.Told()
 	}
+	j.done <- r
 }
 
 // exec is an execution with its connection.
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -24,7 +24,7 @@
 	Key     int64
 	Keyed   bool
 	StopBy  decide.Time // the client waits until then
-	Told    func()      // called on the loop once the result is there; it must not wait. nil: nobody
+	Told    func()      // called on the loop just before the result is there; it must not wait. nil: nobody
 	Request uint32      // the client's request that it belongs to
 	Kind    uint8       // as in node.Call
 	Call    node.Call   // what to do at the node; the loop fills in whose it is and the time left
