Close a client's connection in one way, by its own goroutine; see its end behind bytes ahead

Causes, by reading, each forced by a test on real connections: - Stop, spare and the idle time-out looked at the socket (says) and closed it. A request that the connection's goroutine had just read, or that came between the look and the close, was lost with the close (front.go Stop and spare, conn.go serve). - After an answer with Connection: close and after healthz the connection was closed over what was still unread, which resets it (conn.go serve). - The client's end was seen by one Peek of the buffered reader, which returns at once where anything is buffered: a client that had sent more behind its request and left was not noticed until the answer (conn.go request). - A connection that went idle just after Stop had looked stayed open to the end (conn.go to(idle)). Ruled out: small writes held back (net sets TCP_NODELAY on both sides); a request with half a body (its read sees the end). Change: who wants a resting connection gone dismisses it, which wakes its goroutine; that serves what has come in, else shuts down sending, lets what comes go by for 0.2 s and 256 KB, and closes (linger.go). Lingering connections are bounded (an eighth of the cap on top of it), the oldest goes first. While a request waits, the connection is read on into bounded memory that counts as bodies do; past that, bytes are dropped and the connection ends with its answer (ahead.go). At the end those that wait in the listener's queue are taken before its close. The script of a crowd waits until its clients rest, since under load their order was another.

--- a/internal/web/conn.go
+++ b/internal/web/conn.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,17 +13,36 @@
 	"irispost/internal/http1"
 )
 
-// move is the one place where a connection changes state; the lock is held. false tells that it has ended.
+// move is the one place where a connection changes state; the lock is held. false tells that it has ended, or is to.
 func (c *conn) move(to connState) bool {
-	if c.state == ended {
+	f := c.front
+	if c.state == ended || c.state == lingering && to != ended {
 		return false
 	}
+	if to == idle && f.phase == closing {
+		to = dismissed
+	}
+	switch c.state {
+	case dismissed:
+		f.dismissed--
+	case lingering:
+		f.lingers = slices.DeleteFunc(f.lingers, func(o *conn) bool { return o == c })
+	}
 	c.state, c.since = to, time.Now()
-	if to == ended {
+	switch to {
+	case dismissed:
+		f.dismissed++
+		c.raw.SetReadDeadline(time.Unix(1, 0)) // wakes next
+	case lingering:
+		f.lingers = append(f.lingers, c)
+		if f.phase < deaf && len(f.lingers) > f.opt.Limits.lingering() {
+			f.lingers[0].move(ended) // it has had the longest time
+		}
+	case ended:
 		c.raw.Close()
-		delete(c.front.conns, c)
-		if c.front.phase >= deaf && len(c.front.conns) == 0 {
-			close(c.front.none)
+		delete(f.conns, c)
+		if f.phase >= deaf && len(f.conns) == 0 {
+			close(f.none)
 		}
 	}
 	return true
@@ -35,44 +54,52 @@
 	return c.move(s)
 }
 
-// serve takes one request after the other.
+// serve takes one request after the other, and closes the connection.
 func (c *conn) serve() {
-	defer c.to(ended)
-	c.raw.SetReadDeadline(c.until)
+	defer c.ahead.drop()
 	for {
-		if _, err := c.in.Peek(1); err != nil {
-			return
+		gone, err := c.next()
+		if err == nil {
+			gone, err = c.request()
 		}
-		if !c.to(reading) {
+		var wrong *http1.Error
+		switch {
+		case errors.As(err, &wrong):
+			c.write(http1.NewAnswer(wrong.Status).Field("Connection", "close").Body([]byte(wrong.Why+"\n"), true))
+		case err != nil && gone:
+			c.to(ended)
 			return
+		case err == nil:
+			c.raw.SetReadDeadline(time.Now().Add(c.front.opt.Limits.Idle)) // before it is idle: who dismisses it sets another
+			if c.to(idle) {
+				continue
+			}
 		}
-		again, err := c.request()
-		if err != nil || !again {
-			c.refuse(err)
-			return
-		}
-		if !c.to(idle) {
-			return
-		}
-		c.raw.SetReadDeadline(time.Now().Add(c.front.opt.Limits.Idle))
+		c.linger()
+		return
 	}
 }
 
-// refuse tells a client what is wrong with its request, and lets what it still sends go by for a moment, since a close on
-// unread bytes would take the answer with it.
-func (c *conn) refuse(err error) {
-	var wrong *http1.Error
-	if !errors.As(err, &wrong) {
-		return
-	}
-	if c.write(http1.NewAnswer(wrong.Status).Field("Connection", "close").Body([]byte(wrong.Why+"\n"), true)) != nil {
-		return
+// errLast tells that a connection ends after an answer, or because nothing comes.
+var errLast = errors.New("the connection ends")
+
+// next waits for a request's first byte.
+//
+// Guard: who dismisses an idle connection only wakes this goroutine, which alone knows what it has read. A request that has come in
+// by then is served and answered.
+func (c *conn) next() (gone bool, err error) {
+	if _, err = c.in.Peek(1); err != nil {
+		if !isTimeout(err) {
+			return true, err
+		}
+		if !says(c.raw) {
+			return false, errLast
+		}
 	}
-	if t, ok := c.raw.(*net.TCPConn); ok {
-		t.CloseWrite()
+	if !c.to(reading) {
+		return true, net.ErrClosed
 	}
-	c.raw.SetReadDeadline(time.Now().Add(lastBytes))
-	io.CopyN(io.Discard, c.in, 4*c.front.opt.Limits.Message.Body)
+	return false, nil
 }
 
 func (c *conn) write(b []byte) error {
@@ -81,8 +108,8 @@
 	return err
 }
 
-// request takes one request and answers it; false tells that the connection ends with it.
-func (c *conn) request() (again bool, err error) {
+// request takes one request and answers it. gone tells that there is nobody any more to be told of the error.
+func (c *conn) request() (gone bool, err error) {
 	f := c.front
 	limit := time.Now().Add(f.opt.Limits.Request)
 	if !c.until.IsZero() {
@@ -91,7 +118,7 @@
 	c.raw.SetReadDeadline(limit)
 	q, err := http1.ReadRequest(c.in, f.opt.Limits.Message)
 	if err != nil {
-		return false, late(err)
+		return true, late(err)
 	}
 	if q.Target == "/healthz" {
 		return c.health(q)
@@ -112,33 +139,44 @@
 	defer leave()
 	if q.Waits {
 		if err := c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return false, err
+			return true, err
 		}
 	}
 	if w.Call.Data, err = http1.ReadBody(c.in, q.Length, f.opt.Limits.Message); err != nil {
-		return false, late(err)
+		return true, late(err)
 	}
 	c.raw.SetReadDeadline(time.Time{})
 	if !c.to(waiting) {
-		return false, net.ErrClosed
+		return true, net.ErrClosed
 	}
 	w.StopBy = f.opt.Loop.Now() + w.StopBy
 	w.Told = func() { c.raw.SetReadDeadline(time.Unix(1, 0)) } // wakes the look for the client's end below
 	done := f.opt.Loop.Do(c.session, w)
-	if _, err := c.in.Peek(1); err != nil && !isTimeout(err) {
+	if err := c.ahead.until(); err != nil {
 		f.opt.Loop.Left(c.session)
 		<-done
-		return false, err
+		return true, err
 	}
-	r := <-done // where the next request is here already, the client's end is not seen before it is read
+	r := <-done
 	if r.State == decide.Withdrawn || !c.to(writing) {
-		return false, net.ErrClosed
+		return true, net.ErrClosed
 	}
 	leave() // before the client can know, who may ask again at once
 	f.lock.Lock()
-	last := q.Close || f.phase == closing
+	last := q.Close || f.phase == closing || c.ahead.over
 	f.lock.Unlock()
-	return !last, c.write(answer(r, last))
+	return c.answered(answer(r, last), last)
+}
+
+// answered sends an answer, after which the connection may end.
+func (c *conn) answered(b []byte, last bool) (gone bool, err error) {
+	if err := c.write(b); err != nil {
+		return true, err
+	}
+	if last {
+		return false, errLast
+	}
+	return false, nil
 }
 
 func isTimeout(err error) bool {
@@ -191,5 +229,5 @@
 	if q.Close {
 		w.Field("Connection", "close")
 	}
-	return !q.Close, c.write(w.Body([]byte("ok\n"), true))
+	return c.answered(w.Body([]byte("ok\n"), true), q.Close)
 }
--- a/internal/web/export_test.go
+++ b/internal/web/export_test.go
@@ -20,9 +20,34 @@
 	}
 	f.spare(now, 0)
 	for i, c := range all {
-		if c.state == ended {
+		if c.state == dismissed {
 			return i
 		}
 	}
 	return -1
 }
+
+// StartOn starts a front on a listener.
+var StartOn = startOn
+
+// Dismissed tells how many connections are to go, and how many linger.
+func Dismissed(f *Front) (dismissed, lingering int) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.dismissed, len(f.lingers)
+}
+
+// Lingering is how many may linger.
+func Lingering(l Limits) int { return l.lingering() }
+
+// Idle tells how many connections are idle.
+func Idle(f *Front) (n int) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for c := range f.conns {
+		if c.state == idle {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -10,12 +10,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"irispost/decide"
@@ -47,20 +45,22 @@
 
 // Front is a running front.
 type Front struct {
-	opt      Options
-	known    known
-	listener net.Listener
-	lock     sync.Mutex
-	conns    map[*conn]bool
-	asked    map[string]bool // ids of requests without an answer
-	bodies   int64
-	count    int64
-	refused  int  // connections that were turned away
-	spared   int  // connections that were ended for others
-	short    bool // the mode last logged
-	phase    phase
-	none     chan struct{} // closed when no connection can come and none is left
-	turned   chan struct{} // room for those that are being turned away
+	opt       Options
+	known     known
+	listener  net.Listener
+	lock      sync.Mutex
+	conns     map[*conn]bool
+	asked     map[string]bool // ids of requests without an answer
+	bodies    int64
+	count     int64
+	refused   int  // connections that were turned away
+	spared    int  // connections that were ended for others
+	short     bool // the mode last logged
+	phase     phase
+	dismissed int           // connections that are to go
+	lingers   []*conn       // those that linger, the first for longest
+	none      chan struct{} // closed when no connection can come and none is left
+	heard     chan struct{} // closed when none is taken any more
 }
 
 // phase is how far the front's end has come.
@@ -77,11 +77,13 @@
 type connState uint8
 
 const (
-	fresh   connState = iota // has not asked anything yet
-	idle                     // between requests
-	reading                  // a request is coming in
-	waiting                  // its job is with the gateway
-	writing                  // the answer goes out
+	fresh     connState = iota // has not asked anything yet
+	idle                       // between requests
+	dismissed                  // it is to go, unless a request has come in
+	reading                    // a request is coming in
+	waiting                    // its job is with the gateway
+	writing                    // the answer goes out
+	lingering                  // nothing is sent any more, and what comes is dropped
 	ended
 )
 
@@ -89,6 +91,7 @@
 type conn struct {
 	front   *Front
 	raw     net.Conn
+	ahead   ahead
 	in      *bufio.Reader
 	session *gateway.Session
 	state   connState
@@ -102,20 +105,25 @@
 	if err != nil {
 		return nil, err
 	}
+	return startOn(l, opt), nil
+}
+
+func startOn(l net.Listener, opt Options) *Front {
 	f := &Front{opt: opt, known: knownBy(opt.Terms), listener: l, conns: map[*conn]bool{}, asked: map[string]bool{},
-		none: make(chan struct{}), turned: make(chan struct{}, max(opt.Limits.Connections/16, 1))}
+		none: make(chan struct{}), heard: make(chan struct{})}
 	go f.accept()
 	go f.tend()
-	return f, nil
+	return f
 }
 
 // Addr is the address that clients connect to.
 func (f *Front) Addr() string { return f.listener.Addr().String() }
 
 func (f *Front) accept() {
+	defer close(f.heard)
 	for {
 		raw, err := f.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || isTimeout(err) { // Stop sets a time, after which nothing waits there
 			return
 		}
 		if err != nil { // out of descriptors: those that are open have to end first
@@ -123,76 +131,38 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if c := f.admit(raw); c != nil {
+		if c := f.admit(raw); c.state == fresh {
 			go c.serve()
-			continue
-		}
-		select {
-		case f.turned <- struct{}{}:
-			go func() {
-				f.turnAway(raw)
-				<-f.turned
-			}()
-		default: // a crowd that says nothing: it has no time either
-			raw.Close()
+		} else {
+			go c.linger()
 		}
 	}
 }
 
-// turnAway tells a client that there is no room. A close on bytes that nobody has read would take the answer with it, and its
-// request would be lost without one, so what the client sends is let go by for a moment.
-func (f *Front) turnAway(raw net.Conn) {
-	defer raw.Close()
-	raw.SetDeadline(time.Now().Add(lastBytes))
-	if _, err := raw.Write(http1.NewAnswer(503).Field("Connection", "close").Body([]byte("too many connections\n"), true)); err != nil {
-		return
-	}
-	if t, ok := raw.(*net.TCPConn); ok {
-		t.CloseWrite()
-	}
-	io.CopyN(io.Discard, onlyReader{raw}, 4*f.opt.Limits.Message.Body)
-}
-
-// onlyReader hides what else a connection can do, so that nothing is spliced.
-type onlyReader struct{ io.Reader }
-
-// lastBytes is for how long a client may still send on a connection that has its last answer.
-const lastBytes = 200 * time.Millisecond
-
-// says tells whether a client's bytes wait in a connection's socket: it is neither idle nor silent then, only not read yet.
-func says(raw net.Conn) bool {
-	s, ok := raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	c, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	c.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waits = err == nil && n > 0
-	})
-	return waits
-}
-
-// admit takes a connection in, if there is room or one that can go; else nil.
+// admit takes a connection in, if there is room or one that can go. One for which there is none is told so, and lingers.
 func (f *Front) admit(raw net.Conn) *conn {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	now := time.Now()
-	if len(f.conns) >= f.opt.Limits.Connections && !f.spare(now, f.opt.Limits.Spare/8) || f.phase >= deaf {
-		f.refused++
-		return nil
-	}
 	f.count++
-	c := &conn{front: f, raw: raw, in: bufio.NewReaderSize(raw, http1.LineBytes), since: now,
-		session: gateway.NewSession(f.opt.Name + "/" + strconv.FormatInt(f.count, 10)), until: now.Add(f.opt.Limits.First)}
+	c := &conn{front: f, raw: raw, since: now, session: gateway.NewSession(f.opt.Name + "/" + strconv.FormatInt(f.count, 10)),
+		until: now.Add(f.opt.Limits.First)}
+	c.ahead = ahead{raw: raw, most: f.opt.Limits.Message.Body + int64(f.opt.Limits.Message.Head), book: f.book}
+	raw.SetReadDeadline(c.until) // before anybody can dismiss it
+	c.in = bufio.NewReaderSize(&c.ahead, http1.LineBytes)
 	f.conns[c] = true
+	if f.serving() > f.opt.Limits.Connections && !f.spare(now, f.opt.Limits.Spare/8) || f.phase >= deaf {
+		f.refused++
+		raw.SetWriteDeadline(now.Add(lastBytes)) // nothing is in the socket yet, so it does not wait
+		raw.Write(http1.NewAnswer(503).Field("Connection", "close").Body([]byte("too many connections\n"), true))
+		c.move(lingering)
+	}
 	return c
 }
 
+// serving is the number of connections that are not on their way out; the lock is held.
+func (f *Front) serving() int { return len(f.conns) - len(f.lingers) - f.dismissed }
+
 // tend is the periodic work: past the crowd, it ends what has been idle for longest. Clients hold only so many connections,
 // and those who asked once and stay would keep the others out.
 func (f *Front) tend() {
@@ -205,7 +175,7 @@
 			return
 		case now := <-tick.C:
 			f.lock.Lock()
-			for len(f.conns) > f.opt.Limits.Crowd && f.spare(now, f.opt.Limits.Spare) {
+			for f.serving() > f.opt.Limits.Crowd && f.spare(now, f.opt.Limits.Spare) {
 			}
 			f.tell(refused)
 			refused = f.refused
@@ -214,9 +184,12 @@
 	}
 }
 
-// spare ends the connection that can go best: one that has not said anything, else the one that has been idle for longest; but
-// none that is younger than this.
+// spare dismisses the connection that can go best: one that has not said anything, else the one that has been idle for longest; but
+// none that is younger than this. false tells that none can go now, or that too many are just going.
 func (f *Front) spare(now time.Time, least time.Duration) bool {
+	if f.dismissed+len(f.lingers) >= f.opt.Limits.lingering() && (len(f.lingers) == 0 || now.Sub(f.lingers[0].since) < lastBytes/8) {
+		return false
+	}
 	var best *conn
 	for c := range f.conns {
 		if c.state > idle || now.Sub(c.since) < least {
@@ -228,7 +201,7 @@
 	}
 	if best != nil {
 		f.spared++
-		best.move(ended)
+		best.move(dismissed)
 	}
 	return best != nil
 }
@@ -261,6 +234,17 @@
 	return nil
 }
 
+// book takes room for bytes, or gives it back. false tells that there is none.
+func (f *Front) book(bytes int64) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if bytes > 0 && f.bodies+bytes > f.opt.Limits.Bodies {
+		return false
+	}
+	f.bodies += bytes
+	return true
+}
+
 func (f *Front) leave(id string, size int64) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
@@ -289,21 +273,25 @@
 		return
 	}
 	rest(ctx, taken, nil)
+	if t, ok := f.listener.(interface{ SetDeadline(time.Time) error }); ok { // those that wait to be taken are, since its close would reset them
+		t.SetDeadline(time.Now().Add(lastBytes / 10))
+		<-f.heard
+	}
 	f.listener.Close()
 	f.lock.Lock()
 	f.phase = deaf
-	left := len(f.conns)
-	f.lock.Unlock()
-	if left == 0 {
+	if len(f.conns) == 0 {
 		close(f.none)
+		f.lock.Unlock()
 		return
 	}
+	f.lock.Unlock()
 	rest(ctx, served-time.Since(began), f.none)
 	f.lock.Lock()
 	f.phase = closing
 	for c := range f.conns {
-		if c.state <= idle && !says(c.raw) { // what has come in already gets its answer, and then the close
-			c.move(ended)
+		if c.state <= idle {
+			c.move(dismissed)
 		}
 	}
 	f.lock.Unlock()
--- a/internal/web/front_test.go
+++ b/internal/web/front_test.go
@@ -36,6 +36,7 @@
 	lock sync.Mutex
 	hold bool
 	out  map[string]*sent
+	seen map[string]int
 	more chan string // ids of what is held
 }
 
@@ -50,6 +51,7 @@
 func (n *nodes) Start(_ string, c *node.Call, done func(node.Answer)) node.Sending {
 	s := &sent{n, c.Mark, *c, done, make(chan struct{})}
 	n.lock.Lock()
+	n.seen[s.id]++
 	hold := n.hold
 	if hold {
 		n.out[s.id] = s
@@ -82,18 +84,23 @@
 }
 
 func start(t testing.TB, l web.Limits) *town {
+	on, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startOn(t, on, l)
+}
+
+func startOn(t testing.TB, on net.Listener, l web.Limits) *town {
 	c, err := platform.Parse([]byte(settings), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	n := &nodes{out: map[string]*sent{}, more: make(chan string, 1000)}
+	n := &nodes{out: map[string]*sent{}, seen: map[string]int{}, more: make(chan string, 1000)}
 	loop := gateway.Start(gateway.Options{Name: "n1", Seed: 1, Terms: c.Terms, Queue: 64, Clock: gateway.NewClock(), Nodes: n, Log: log,
 		Known: &listing.List{Nodes: []listing.Node{{Addr: "a:1", Zone: "z", Shard: 0}}}})
-	f, err := web.Start("127.0.0.1:0", web.Options{Name: "n1", Loop: loop, Terms: c.Terms, Limits: l, Log: log})
-	if err != nil {
-		t.Fatal(err)
-	}
+	f := web.StartOn(on, web.Options{Name: "n1", Loop: loop, Terms: c.Terms, Limits: l, Log: log})
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -150,7 +157,8 @@
 // play carries out a script: steps parted by ";", each of words. "NAME ask ID", "NAME send BYTES ID" (the first so many bytes of a request, or
 // all but so many), "NAME chunks ID", "NAME close"; "NAME STATUS" reads an answer, 0 for the connection's end, and 200 has to be the
 // client's own; "hold" and "free" have the node hold what comes or serve it at once; "held", "serve ID" and "off ID" wait for one that is held, serve
-// it, and wait until it is called off, "flood ID" serves it at length; "conns N" waits until so many are open at most.
+// it, and wait until it is called off, "flood ID" serves it at length; "conns N" waits until so many are open at most, "rests N" until so many
+// are idle.
 func play(t *testing.T, w *town, script string) {
 	t.Helper()
 	clients, ids := map[string]*client{}, map[string][]string{}
@@ -175,6 +183,10 @@
 		case "off":
 			<-w.nodes.out[verb].off
 			continue
+		case "rests":
+			for n, _ := strconv.Atoi(verb); web.Idle(w.Front) < n; time.Sleep(time.Millisecond) {
+			}
+			continue
 		case "conns":
 			for n, _ := strconv.Atoi(verb); ; time.Sleep(time.Millisecond) {
 				if conns, requests := w.Figures(); conns <= n && (requests == 0 || n > 0) {
@@ -210,6 +222,12 @@
 		case "dial":
 		case "close":
 			c.Close()
+		case "reset":
+			c.Conn.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		case "noise":
+			n, _ := strconv.Atoi(words[2])
+			c.send(strings.Repeat("n", n))
 		default:
 			status, _, body := c.read()
 			if fmt.Sprint(status) != verb {
@@ -233,17 +251,21 @@
 		limits func(*web.Limits)
 		script string
 	}{
-		"requests in turn":     {nil, "a health; a 200; a ask 1; a 200; a ask p; a ask q; a ask r; a 200; a 200; a 200; a chunks s; a 200; a last z; a 200; a 0"},
-		"an id that is open":   {nil, "hold; a ask x; held; b ask x; b 409; serve x; a 200; free; c ask x; c 200"},
-		"a client that leaves": {nil, "hold; a ask x; held; a close; off x; conns 0"},
-		"nothing is said":      {short, "a dial; a 0"},
-		"half a head":          {short, "a send 40 x; a 408"},
-		"half a body":          {short, "a send -2 x; a 408; b ask y; b 200; b send 40 z; b 408"},
-		"idle for too long":    {short, "a ask x; a 200; a 0"},
+		"requests in turn":                 {nil, "a health; a 200; a ask 1; a 200; a ask p; a ask q; a ask r; a 200; a 200; a 200; a chunks s; a 200; a last z; a 200; a 0"},
+		"an id that is open":               {nil, "hold; a ask x; held; b ask x; b 409; serve x; a 200; free; c ask x; c 200"},
+		"a client that leaves":             {nil, "hold; a ask x; held; a close; off x; conns 0"},
+		"one that leaves with bytes ahead": {nil, "hold; a ask x; a noise 100; held; a close; off x; conns 0"},
+		"one that leaves with much ahead":  {nil, "hold; a ask x; a noise 400000; held; a close; off x; conns 0"},
+		"one that resets with bytes ahead": {nil, "hold; a ask x; a ask y; held; a reset; off x; conns 0"},
+		"whole requests ahead":             {nil, "hold; a ask x; held; free; a chunks y; a ask z; serve x; a 200; a 200; a 200"},
+		"nothing is said":                  {short, "a dial; a 0"},
+		"half a head":                      {short, "a send 40 x; a 408"},
+		"half a body":                      {short, "a send -2 x; a 408; b ask y; b 200; b send 40 z; b 408"},
+		"idle for too long":                {short, "a ask x; a 200; a 0"},
 		"no connection free": {func(l *web.Limits) { l.Connections, l.Spare = 3, 0 },
 			"hold; a ask a; held; b ask b; held; s dial; c ask c; s 0; held; d dial; d 503; serve a; a 200; serve b; b 200; serve c; c 200"},
-		"a crowd": {func(l *web.Limits) { l.Crowd, l.Spare = 2, 20*time.Millisecond },
-			"a ask 1; a 200; b ask 2; b 200; c ask 3; c 200; hold; d ask d; held; conns 2; a 0; b 0; serve d; d 200"},
+		"a crowd": {func(l *web.Limits) { l.Crowd, l.Spare = 2, 200*time.Millisecond },
+			"a ask 1; a 200; rests 1; b ask 2; b 200; rests 2; c ask 3; c 200; hold; d ask d; held; conns 2; a 0; b 0; serve d; d 200"},
 		"no bytes free":               {func(l *web.Limits) { l.Bodies = 6 }, "hold; a ask a; held; b ask b; b 503; serve a; a 200"},
 		"an answer that is not taken": {func(l *web.Limits) { l.Write = 30 * time.Millisecond }, "hold; a ask a; held; flood a; conns 0"},
 	} {
@@ -301,6 +323,9 @@
 	c, late, never, waits := w.dial(t), w.dial(t), w.dial(t), w.dial(t)
 	c.send(ask("1"))
 	c.expect(200, "before")
+	for conns := 0; conns < 4; conns, _ = w.Figures() { // all are taken
+		time.Sleep(time.Millisecond)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() { w.Stop(ctx, 0, time.Hour); close(stopped) }()
