Pass a request's further fields on to nodes, above all the key of a keyed class

At fault: internal/webnode/client.go, write, which wrote three fields of its own and nothing else. Change: all fields go on that are not between the client and the gateway alone (RFC 9110, 7.6.1), whatever their names.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -72,8 +72,8 @@
 	return n
 }
 
-// token tells whether a field of comma-separated words holds one.
-func (f Fields) token(name, word string) bool {
+// Names tells whether a field of comma-separated words holds one.
+func (f Fields) Names(name, word string) bool {
 	for _, o := range f {
 		if o.Name != name {
 			continue
@@ -235,7 +235,7 @@
 	if q.Length.Bytes > b.Body {
 		return nil, bad(413, "a body of %d bytes, %d may be", q.Length.Bytes, b.Body)
 	}
-	q.Close = q.Fields.token("connection", "close")
+	q.Close = q.Fields.Names("connection", "close")
 	if e, ok := q.Fields.Get("expect"); ok {
 		if !strings.EqualFold(e, "100-continue") {
 			return nil, bad(417, "an expectation other than 100-continue")
@@ -324,7 +324,7 @@
 			}
 			continue
 		}
-		a.Close = a.Fields.token("connection", "close")
+		a.Close = a.Fields.Names("connection", "close")
 		n, stated, err := length(a.Fields)
 		if err != nil {
 			return nil, err
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -66,6 +66,7 @@
 	Key     int64         // jobs of one key run in order; 0 for none
 	Shard   int           // that has to serve it; below 0 for any
 	Mark    string        // by which a repeat is known
+	Head    []string      // further fields that pass on unchanged, name and value in turn, where the protocol has such
 	Op      Op
 	Name    string // of the object or record
 	Owner   string // the path that an object belongs to
--- a/internal/web/front_test.go
+++ b/internal/web/front_test.go
@@ -68,9 +68,9 @@
 func (s *sent) serve() {
 	s.done(node.Answer{Outcome: node.Served, Data: []byte(s.id + " " + s.call.Name + " " + string(s.call.Data))})
 }
-func (s *sent) CallOff()              { close(s.off) }
-func (n *nodes) Keep(map[string]bool) {}
-func (n *nodes) Late() int64          { return 0 }
+func (s *sent) CallOff()                 { close(s.off) }
+func (n *nodes) Keep(map[string]bool)    {}
+func (n *nodes) Late() int64             { return 0 }
 
 type town struct {
 	*web.Front
@@ -317,6 +317,19 @@
 	}
 }
 
+// Guard: the key by which a node knows a repeat goes on with the request, and so does what else is not between the client and the gateway alone.
+func TestFieldsPassOn(t *testing.T) {
+	w := start(t, limits())
+	w.nodes.hold = true
+	c := w.dial(t)
+	c.send(strings.Replace(ask("x"), "Host: origin.svc\r\n", "Host: origin.svc\r\nIdempotency-Key: \tk=1; a \r\nX-Other: b\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: a\r\n", 1))
+	<-w.nodes.more
+	want := "[idempotency-key k=1; a x-other b x-class read x-plan gold x-io volume=00000003b4d60021,units=2,shard=0,hosts=3]"
+	if got := fmt.Sprint(w.nodes.out["x"].call.Head); got != want {
+		t.Errorf("%s", got)
+	}
+}
+
 // TestEnd: after the word to end, open connections are served on; then each closes with its answer, and what has none is written off.
 func TestEnd(t *testing.T) {
 	w := start(t, limits())
--- a/internal/web/work.go
+++ b/internal/web/work.go
@@ -78,6 +78,7 @@
 	}
 	w := &gateway.Work{Volume: &gateway.Volume{Plan: plan, Hosts: 1}, Product: product, Key: int64(extent), Keyed: true,
 		StopBy: decide.Time(ms) * decide.Millisecond, Call: node.Call{Op: op, Name: q.Target, Mark: id, Shard: -1}}
+	w.Call.Head = passedOn(q.Fields)
 	told, _ := q.Fields.Get("x-io")
 	if !k.told(w, told) {
 		return nil, bad("an X-IO that can't be read")
@@ -85,6 +86,20 @@
 	return w, nil
 }
 
+// hop are the fields that are between a client and the gateway alone (RFC 9110, 7.6.1), or that the gateway states itself.
+var hop = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true, "transfer-encoding": true, "upgrade": true,
+	"host": true, "content-length": true, "expect": true, "x-request-id": true, "x-deadline-ms": true}
+
+// passedOn are the fields that go on to a node as they came, above all a key by which it knows a repeat (Idempotency-Key).
+func passedOn(fields http1.Fields) (head []string) {
+	for _, f := range fields {
+		if !hop[f.Name] && !fields.Names("connection", f.Name) {
+			head = append(head, f.Name, f.Value)
+		}
+	}
+	return head
+}
+
 // told reads volume, units, shard and hosts.
 func (k known) told(w *gateway.Work, text string) bool {
 	seen := map[string]bool{}
--- a/internal/webnode/client.go
+++ b/internal/webnode/client.go
@@ -269,6 +269,9 @@
 	c, call := l.client, s.call
 	w := http1.NewRequest(method(call.Op), call.Name).Field("Host", c.opt.Host).Field("X-Request-Id", call.Mark).
 		Field("X-Deadline-Ms", strconv.FormatInt(max(call.Left.Milliseconds(), 1), 10))
+	for i := 0; i+1 < len(call.Head); i += 2 {
+		w.Field(call.Head[i], call.Head[i+1])
+	}
 	b := w.Body(call.Data, call.Op.Writes())
 	n, err := l.conn.Write(b)
 	defer close(l.wrote)
