Hear within six seconds what a list that can be reached has, after any failed calls

Cause, by reading: waits after failed calls doubled up to 16 s (or the stated time for asking, 10 s at the operators' site) and were spread to half as much again, so that a change could be heard 15 s after it could be reached, where it counts as told after 6. A call on a watch could wait 4 s, which left 1 s after its silence was noticed. SIGHUP did not end a dial under way at the old address (up to 1 s of the 4 that it leaves). At fault: decide.go listWaitMost, platform.go longestHold, discovery.go Move. Change: a wait of a second at most, spread from half to half as much again; a watch waits 3 s; Move ends the dial. A log line for each failed call, which the client writes too, goes; so does a second counter of what an outcome says.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -2,10 +2,9 @@
 //
 // How it is called: New makes a Gateway from its start values. Each thing that happens is one call: Listing,
 // Listed, ListDone, ListFailed, Agree, Take, Begun, Ended, Left, Probed. After the last call of a moment,
-// Decide(now) says what to do: executions to start and call off, jobs ended, list calls, log lines, and when
-// to call again. The interface is in types.go; jobs.go has the life of a job, turns.go whose turn it is,
-// outcomes.go executions, nodes.go what is known of nodes, cold.go what cold nodes and fair rates pass,
-// terms.go what is acted on. docs/design.md tells of the mechanism and its exceptions by the names used here.
+// Decide(now) says what to do and when to call again. The interface is in types.go; jobs.go has the life of a
+// job, turns.go whose turn it is, outcomes.go executions, nodes.go what is known of nodes, cold.go what cold
+// nodes and fair rates pass, terms.go what is acted on. docs/design.md tells of all by the names used here.
 package decide
 
 // Open values of the design. "Aim" is the tightest goal time of all products.
@@ -45,8 +44,8 @@
 	coldShare    = 0.5               // part of the multiple of what a cold node can do that is used
 	roundsPerAim = 8                 // periodic rounds in one aim
 	listWait     = 250 * Millisecond // first wait after a failed list call; it doubles up to the most
-	listWaitMost = 16 * Second
-	silenceMost  = 6 * Second // after the list fell silent, what it missed counts as told (platform protocol)
+	listWaitMost = Second            // three calls in the time after which what it could have told counts as told
+	silenceMost  = 6 * Second        // after the list fell silent, what it missed counts as told (platform protocol)
 )
 
 // New starts a gateway from its seed and what it is told at start.
--- a/decide/nodes.go
+++ b/decide/nodes.go
@@ -42,13 +42,12 @@
 }
 
 // ListFailed tells that a list call failed, silent that it did without a word. It is asked anew after a wait
-// that doubles, short while it is silent, and is spread so that not all gateways come back at one moment.
+// that doubles, so short that what it has is heard in time, and spread so that not all come back at once.
 func (g *Gateway) ListFailed(now Time, silent bool) {
 	g.now = now
 	g.mode(&g.silent, g.silent || silent, "the list is silent: %%t, %d ms by now", (now-g.heardAt)/Millisecond)
 	if g.terms["discovery"] == "ask" {
 		g.listAt = now + Time(float64(g.listWait)*(0.5+g.chance.part()))
-		g.log("the list does not answer, asked again in %d ms", (g.listAt-now)/Millisecond)
 		g.listWait = min(2*g.listWait, listWaitMost, cmp.Or(g.terms.span("list.every"), listWaitMost))
 		if g.silent {
 			g.listWait = min(g.listWait, 2*listWait)
@@ -219,17 +218,13 @@
 		return
 	}
 	w, fail := g.weight(n), 1.0
-	if e.Overdue && (e.Outcome == Served || e.Outcome == TimedOut || e.Outcome == Reset) {
-		vain := 1.0
-		if e.Outcome == Served {
-			vain = 0
-		}
-		g.vain += gapMemory * (vain - g.vain)
-		g.mode(&g.loses, g.vain > vainShare, "overdue counts as lost: %%t, %.0f%%%% had no answer", 100*g.vain)
-	}
 	if e.Outcome == Served || e.Outcome == Full {
 		fail = 0
 	}
+	if e.Overdue && (e.Outcome == Served || e.Outcome == TimedOut || e.Outcome == Reset) {
+		g.vain += gapMemory * (fail - g.vain)
+		g.mode(&g.loses, g.vain > vainShare, "overdue counts as lost: %%t, %.0f%%%% had no answer", 100*g.vain)
+	}
 	n.Failing += w * (fail - n.Failing)
 	switch e.Outcome {
 	case Served, Erred:
--- a/decide/outcomes.go
+++ b/decide/outcomes.go
@@ -43,6 +43,12 @@
 		j.Cold, j.Borne = Undrawn, Undrawn
 		n.Sends = append(n.Sends, Spent{g.now, j.Units})
 	}
+	for _, o := range j.Execs { // it begins while all that may have run are remembered
+		if till := o.Sent + j.Product.Window; j.Product.Kind == Referenced && !o.Outcome.NeverRan() &&
+			o != e && (e.Till == 0 || till < e.Till) {
+			e.Till = till
+		}
+	}
 	if n.Suspect {
 		n.TryAt = g.now + Time(float64(g.aim)*(1+g.chance.part()))
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -127,11 +127,13 @@
 	quick bool // the last call ended without a word: the next is not to wait for changes, so that an answer shows at once; Run's
 	conn  net.Conn
 	in    *bufio.Reader
+	undo  context.CancelFunc // ends the dial that is under way
+	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // New makes a client, and returns the list as it was last held; nil: there is none.
 func New(opt Options) (*Client, *listing.List, error) {
-	c := &Client{opt: opt, addr: opt.Address, wake: make(chan struct{}, 1)}
+	c := &Client{opt: opt, addr: opt.Address, wake: make(chan struct{}, 1), undo: func() {}, dial: (&net.Dialer{}).DialContext}
 	if opt.Known == nil {
 		return c, nil, nil
 	}
@@ -158,6 +160,7 @@
 		return
 	}
 	c.addr, c.moved = addr, true
+	c.undo()
 	if c.conn != nil {
 		c.conn.Close()
 	}
@@ -230,12 +233,13 @@
 		}
 	}
 	conn, in := c.conn, c.in
+	dialling, undo := context.WithTimeout(ctx, c.opt.Slack)
+	c.undo = undo
 	c.lock.Unlock()
-	end := time.Now().Add(c.opt.Slack)
+	defer undo()
 	if conn == nil {
-		d := net.Dialer{Deadline: end}
 		var err error
-		if conn, err = d.DialContext(ctx, "tcp", addr); err != nil {
+		if conn, err = c.dial(dialling, "tcp", addr); err != nil {
 			return err
 		}
 		in = bufio.NewReaderSize(conn, http1.LineBytes)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -178,8 +178,9 @@
 	return min(time.Duration(longest*float64(time.Millisecond)), longestWait) + afterWait
 }
 
-// longestHold leaves two of the six seconds after which what a silent watch missed counts as told.
-const longestHold = 4 * time.Second
+// longestHold leaves three of the six seconds after which what a silent watch missed counts as told: one until the silence is noticed, and
+// two for the calls that follow.
+const longestHold = 3 * time.Second
 
 // Hold is how long the list's service may hold a watch open: often enough within the time after which a gateway that has not asked
 // counts as told all the same, so that a service that fell silent is noticed before.
