--- a/decide/nodes.go
+++ b/decide/nodes.go
@@ -47,11 +47,11 @@
 	g.now = now
 	g.mode(&g.silent, g.silent || silent, "the list is silent: %%t, %d ms by now", (now-g.heardAt)/Millisecond)
 	if g.terms["discovery"] == "ask" {
-		g.listAt = now + Time(float64(g.listWait)*(0.5+g.chance.part()))
-		g.listWait = min(2*g.listWait, listWaitMost, cmp.Or(g.terms.span("list.every"), listWaitMost))
 		if g.silent {
 			g.listWait = min(g.listWait, 2*listWait)
 		}
+		g.listAt = now + Time(float64(g.listWait)*(0.5+g.chance.part()))
+		g.listWait = min(2*g.listWait, listWaitMost, cmp.Or(g.terms.span("list.every"), listWaitMost))
 	}
 }
 
