--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -24,7 +24,7 @@
 	Key     int64
 	Keyed   bool
 	StopBy  decide.Time // the client waits until then
-	Told    func()      // called on the loop once the result is there; it must not wait. nil: nobody
+	Told    func()      // called on the loop just before the result is there; it must not wait. nil: nobody
 	Request uint32      // the client's request that it belongs to
 	Kind    uint8       // as in node.Call
 	Call    node.Call   // what to do at the node; the loop fills in whose it is and the time left
@@ -53,6 +53,8 @@
 type Nodes interface {
 	// Start sends an execution. done is called at most once, from elsewhere, and not after CallOff.
 	Start(addr string, c *node.Call, done func(node.Answer)) node.Sending
+	// Leave has nothing begin any more at nodes that are left, for which it has been handed in and waits. It does not wait.
+	Leave(left func(addr string) bool)
 	Keep(addrs map[string]bool) // connections to others may go
 	Late() int64                // answers that came after their execution was given up
 }
