Refuse settings that nobody could act on, in one line with key and value

Need: a class without a known effect counted as one that may be repeated, two classes of one name as one, a negative or unreadable time as none. Refused at start and at SIGHUP, where the old configuration stays: an effect or group that is unknown, an effect, name or deadline that is missing, two of one name, a number that is negative or none, a limit without its burst, no classes.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,7 +96,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	spans := map[string]*time.Duration{"permissions.dial_timeout_ms": &c.Connect, "permissions.idle_close_ms": &c.Idle}
+	flat := map[string]string{}
 	flatten("", settings, func(path, value string) {
+		flat[path] = value
 		wire.Rename(c.Terms, path, value)
 		if s := spans[path]; s != nil {
 			if ns, ok := wire.ParseTime([]byte(value)); ok && ns > 0 {
@@ -104,6 +106,9 @@
 			}
 		}
 	})
+	if err := check(flat); err != nil {
+		return nil, err
+	}
 	c.Terms["discovery"] = "ask" // whoever changes it, over HTTP the list comes to who asks
 	if c.Connect == 0 || c.Idle == 0 {
 		return nil, errors.New("settings: permissions.dial_timeout_ms and permissions.idle_close_ms have to be above 0")
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -64,6 +64,12 @@
 	"group": {"cell": "shard"},
 }
 
+// Kind tells whether the wire has such a word for what a repeat of a product's job may do, Group whether it has one for the nodes that know it.
+func Kind(word string) bool { return words["kind"][word] != "" }
+
+// Group is told of with Kind.
+func Group(word string) bool { return word == "all" || word == "zone" || words["group"][word] != "" }
+
 // Terms reads the start values that are left on the line.
 func Terms(f *Fields) decide.Terms {
 	terms := decide.Terms{}
