Signals, restarts and idle clients shown on a gateway that runs as a process

TestSignalsInAnyOrder: SIGHUP with an empty, a cut-off and an unknown configuration (the old one stays), a good one (the new list is asked), then SIGHUP, SIGTERM, SIGHUP and SIGTERM at once; SIGTERM at twenty moments from before the first line of code to after it is up.

--- /dev/null
+++ b/cmd/irispost/web_test.go
@@ -0,0 +1,285 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"irispost/internal/webstandin"
+)
+
+// webProcess is a gateway behind HTTP that runs as a process of its own.
+type webProcess struct {
+	*exec.Cmd
+	t    testing.TB
+	file string
+	addr string
+	lock sync.Mutex
+	said []string
+	over chan error
+}
+
+func webConfig(listen, list, more string) string {
+	return fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":128},%s
+		"settings":{"discovery":"push","contract":{"drain_grace_ms":250.0},"contracts":[{"name":"gold","proportion":1.0,"base_rate":1000.0,"floor_rate":1000.0}],
+		"domain":{"unit_mean":2.0,"largest":8},"lanes":[{"name":"read","effect":"read_like","target_ms":60000.0,"hard_limit_ms":120000.0}],
+		"permissions":{"attempts_cap":3,"second_copies":true,"cancelling":true,"retry_after":true,"max_retry_after_ms":1000.0,"dial_timeout_ms":5000.0,
+		"idle_close_ms":60000.0}}}`, listen, list, more)
+}
+
+// startWeb starts one with so many descriptors at most. Its address is known once it is up.
+func startWeb(t testing.TB, list, more string) *webProcess {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &webProcess{t: t, file: filepath.Join(t.TempDir(), "proxy.json"), addr: l.Addr().String(), over: make(chan error, 1)}
+	l.Close()
+	w.write(webConfig(w.addr, list, more))
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Cmd = exec.Command("/bin/sh", "-c", `ulimit -n 128; exec "$0" web`, self)
+	w.Env = append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+w.file)
+	log, err := w.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for lines := bufio.NewScanner(log); lines.Scan(); {
+			w.lock.Lock()
+			w.said = append(w.said, lines.Text())
+			w.lock.Unlock()
+		}
+		w.over <- w.Wait()
+	}()
+	t.Cleanup(func() { w.Process.Kill() })
+	return w
+}
+
+func (w *webProcess) write(config string) {
+	if err := os.WriteFile(w.file+".new", []byte(config), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	if err := os.Rename(w.file+".new", w.file); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// says waits until the log has a text so often.
+func (w *webProcess) says(text string, often int) {
+	for n := 0; n < often; time.Sleep(time.Millisecond) {
+		n = 0
+		w.lock.Lock()
+		for _, line := range w.said {
+			if strings.Contains(line, text) {
+				n++
+			}
+		}
+		w.lock.Unlock()
+	}
+}
+
+// ready waits until it can be put to use.
+func (w *webProcess) ready() {
+	for {
+		if a, err := http.Get("http://" + w.addr + "/healthz"); err == nil {
+			a.Body.Close()
+			if a.StatusCode == 200 {
+				return
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// put asks for a write on a connection of its own.
+func (w *webProcess) put(id string) (status int, body string) {
+	q, _ := http.NewRequest("PUT", "http://"+w.addr+"/api?extent=7f3a9c21e0b4d655", strings.NewReader("body"))
+	for name, v := range map[string]string{"X-Request-Id": id, "X-Class": "read", "X-Plan": "gold", "X-Deadline-Ms": "120000",
+		"X-IO": "volume=00000003b4d60021,units=2,shard=0,hosts=1"} {
+		q.Header.Set(name, v)
+	}
+	q.Close = true
+	a, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer a.Body.Close()
+	b, _ := io.ReadAll(a.Body)
+	return a.StatusCode, string(b)
+}
+
+// listAt is a service whose list is one node, and which holds watches.
+func listAt(t testing.TB, addr, node string) (l net.Listener, asked chan string) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked = make(chan string, 1000)
+	quit := make(chan bool)
+	s := &http.Server{Handler: http.HandlerFunc(func(a http.ResponseWriter, q *http.Request) {
+		asked <- q.URL.String()
+		if q.FormValue("from") == "7" {
+			select {
+			case <-quit:
+			case <-q.Context().Done():
+			}
+		}
+		fmt.Fprintf(a, `{"rev":7,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","pod_group":0,"state":"ready","boot_ms":0}]}`, node)
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { close(quit); s.Close() })
+	return l, asked
+}
+
+// TestSignalsInAnyOrder: an end that is told early, twice, or with a new configuration ends a gateway in order; a configuration that can't be read
+// changes nothing.
+func TestSignalsInAnyOrder(t *testing.T) {
+	store := webstandin.Start(t)
+	one, asked := listAt(t, "127.0.0.1:0", store.Addr().String())
+	two, moved := listAt(t, "127.0.0.1:0", store.Addr().String())
+	t.Run("configurations", func(t *testing.T) {
+		w := startWeb(t, one.Addr().String(), "")
+		w.ready()
+		<-asked
+		for i, bad := range []string{"", `{"name":`, strings.Replace(webConfig(w.addr, two.Addr().String(), ""), "read_like", "perhaps", 1)} {
+			w.write(bad)
+			w.Process.Signal(syscall.SIGHUP)
+			w.says("the old one stays", i+1)
+		}
+		if status, body := w.put("served-1"); status != 200 || len(moved) > 0 {
+			t.Errorf("with the old configuration: %d %q, %d calls at the new list", status, body, len(moved))
+		}
+		w.write(webConfig(w.addr, two.Addr().String(), ""))
+		w.Process.Signal(syscall.SIGHUP)
+		<-moved
+		w.Process.Signal(syscall.SIGHUP) // the same again
+		w.Process.Signal(syscall.SIGTERM)
+		w.Process.Signal(syscall.SIGHUP) // while it ends
+		w.Process.Signal(syscall.SIGTERM)
+		w.says("the gateway ends", 1)
+		if status, body := w.put("served-2"); status != 200 && status != 0 {
+			t.Errorf("while it ends: %d %q", status, body)
+		}
+		if err := <-w.over; err != nil {
+			t.Errorf("it ends with %v", err)
+		}
+	})
+	t.Run("an end before it is ready", func(t *testing.T) {
+		for i := range 20 { // from before its first line of code to after it is up
+			w := startWeb(t, one.Addr().String(), "")
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			w.Process.Signal(syscall.SIGTERM)
+			if err := <-w.over; err != nil && !strings.Contains(err.Error(), "terminated") {
+				t.Errorf("after %d ms: %v", 2*i, err)
+			}
+		}
+	})
+}
+
+// TestReadyWhateverTheListDoes: with a list that refuses, is silent, or is spoilt, known or not, a gateway can be put to use, and says what it cannot do at once.
+func TestReadyWhateverTheListDoes(t *testing.T) {
+	store := webstandin.Start(t)
+	known := fmt.Sprintf(`"known":{"rev":6,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","pod_group":0,"state":"ready","boot_ms":0}]},`, store.Addr())
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // takes calls and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	spoilt := &http.Server{Handler: http.HandlerFunc(func(a http.ResponseWriter, q *http.Request) { io.WriteString(a, `{"rev":"x"}`) })}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go spoilt.Serve(l)
+	defer spoilt.Close()
+	for what, list := range map[string]string{"refuses": "127.0.0.1:1", "silent": silent.Addr().String(), "spoilt": l.Addr().String()} {
+		for _, has := range []string{"", known} {
+			w := startWeb(t, list, has)
+			began := time.Now()
+			w.ready()
+			t.Logf("the list %s, known %t: ready after %v", what, has != "", time.Since(began))
+			if has != "" {
+				if status, body := w.put("served-1"); status != 200 {
+					t.Errorf("the list %s: %d %q from the known one", what, status, body)
+				}
+			}
+			w.Process.Kill()
+			<-w.over
+		}
+	}
+}
+
+// TestIdleClientsWhileTheListIsDown fill what a gateway has of descriptors while its list cannot be reached. When that is back, it is heard, its node is
+// reached and a new client is served, while the idle ones stay.
+func TestIdleClientsWhileTheListIsDown(t *testing.T) {
+	store := webstandin.Start(t)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	free.Close()
+	w := startWeb(t, addr, "")
+	w.ready()
+	var idle []net.Conn
+	for range 300 {
+		if c, err := net.Dial("tcp", w.addr); err == nil {
+			idle = append(idle, c)
+			defer c.Close()
+		}
+	}
+	stop := make(chan bool)
+	defer close(stop)
+	go func() { // they come again
+		for i := 0; ; i = (i + 1) % len(idle) {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			if c, err := net.Dial("tcp", w.addr); err == nil {
+				defer c.Close()
+			}
+		}
+	}()
+	_, asked := listAt(t, addr, store.Addr().String())
+	back := time.Now()
+	for q := <-asked; !strings.Contains(q, "from=7"); q = <-asked { // heard, and watched from then on
+	}
+	heard := time.Now()
+	for i := 0; ; i++ {
+		status, body := w.put(fmt.Sprint("served-", i))
+		if status == 200 {
+			t.Logf("heard %v after the list came back, a new client served %v after that, at its try %d", heard.Sub(back), time.Since(heard), i+1)
+			break
+		}
+		if status != 503 && status != 0 {
+			t.Fatalf("%d %q", status, body)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, line := range w.said {
+		if strings.Contains(line, "too many open files") {
+			t.Errorf("%s", line)
+			break
+		}
+	}
+}
