Answer what has not come in whole at the end; keep descriptors for all who need them

By reading: at the very end the front closed connections on which a request was coming in; one whose last byte had just come was lost with that. At fault: front.go Stop. They are told 408 now, and linger. TestEnd fails without it (the connection ends with no answer). The shares of descriptors with what lingers came to 95.6%: with 128, one more than there is; clients have 42% and an eighth of that for lingering now. Accept out of descriptors logged a line each 10 ms; it logs the change.

--- a/internal/serve/web.go
+++ b/internal/serve/web.go
@@ -26,7 +26,7 @@
 
 // Shares of the platform's limits. Clients hold at most a third of the sockets for their requests; others hold more.
 const (
-	frontSockets = 0.45
+	frontSockets = 0.42 // and an eighth of it for those that linger
 	frontCrowd   = 0.2
 	nodeSockets  = 0.45 // the rest is for the listener, the list, the runtime and what is just closing
 	bodyMemory   = 1.0 / 8
--- a/internal/web/conn.go
+++ b/internal/web/conn.go
@@ -19,7 +19,7 @@
 	if c.state == ended || c.state == lingering && to != ended {
 		return false
 	}
-	if to == idle && f.phase == closing {
+	if to == idle && f.phase >= closing {
 		to = dismissed
 	}
 	switch c.state {
@@ -115,7 +115,12 @@
 	if !c.until.IsZero() {
 		limit, c.until = c.until, time.Time{}
 	}
+	f.lock.Lock()
+	if f.phase == over {
+		limit = time.Unix(1, 0)
+	}
 	c.raw.SetReadDeadline(limit)
+	f.lock.Unlock()
 	q, err := http1.ReadRequest(c.in, f.opt.Limits.Message)
 	if err != nil {
 		return true, late(err)
@@ -163,7 +168,7 @@
 	}
 	leave() // before the client can know, who may ask again at once
 	f.lock.Lock()
-	last := q.Close || f.phase == closing || c.ahead.over
+	last := q.Close || f.phase >= closing || c.ahead.over
 	f.lock.Unlock()
 	return c.answered(answer(r, last), last)
 }
--- a/internal/web/export_test.go
+++ b/internal/web/export_test.go
@@ -51,3 +51,15 @@
 	}
 	return n
 }
+
+// Reading tells whether a request is coming in.
+func Reading(f *Front) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for c := range f.conns {
+		if c.state == reading {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -71,6 +71,7 @@
 	leaving       // connections are taken, but the gateway is not to be put to use
 	deaf          // none are taken; those that are open are served
 	closing       // each is closed with its next answer
+	over          // what has not come in whole by now is told so
 )
 
 // connState is where a client's connection stands. Only conn.move changes it.
@@ -121,13 +122,16 @@
 
 func (f *Front) accept() {
 	defer close(f.heard)
-	for {
+	for short := false; ; {
 		raw, err := f.listener.Accept()
 		if errors.Is(err, net.ErrClosed) || isTimeout(err) { // Stop sets a time, after which nothing waits there
 			return
 		}
+		if short != (err != nil) {
+			short = err != nil
+			f.opt.Log.Warn(fmt.Sprintf("no connection can be taken: %t", short), "gateway", f.opt.Name, "why", err)
+		}
 		if err != nil { // out of descriptors: those that are open have to end first
-			f.opt.Log.Warn("no connection could be taken", "gateway", f.opt.Name, "why", err)
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
@@ -301,7 +305,15 @@
 	case <-ctx.Done():
 	}
 	f.opt.Loop.Stop()
-	rest(context.Background(), 50*time.Millisecond, f.none) // the last answers go out
+	f.lock.Lock()
+	f.phase = over
+	for c := range f.conns {
+		if c.state == reading { // a close now would leave one whose last byte has just come without an answer
+			c.raw.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	f.lock.Unlock()
+	rest(context.Background(), lastBytes/2, f.none) // the last answers go out
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	for c := range f.conns {
--- a/internal/web/front_test.go
+++ b/internal/web/front_test.go
@@ -334,10 +334,10 @@
 // TestEnd: after the word to end, open connections are served on; then each closes with its answer, and what has none is written off.
 func TestEnd(t *testing.T) {
 	w := start(t, limits())
-	c, late, never, waits := w.dial(t), w.dial(t), w.dial(t), w.dial(t)
+	c, late, never, waits, half := w.dial(t), w.dial(t), w.dial(t), w.dial(t), w.dial(t)
 	c.send(ask("1"))
 	c.expect(200, "before")
-	for conns := 0; conns < 4; conns, _ = w.Figures() { // all are taken
+	for conns := 0; conns < 5; conns, _ = w.Figures() { // all are taken
 		time.Sleep(time.Millisecond)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -363,7 +363,15 @@
 	}
 	never.send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
 	never.expect(503, "health while it ends")
+	half.send(ask("half")[:len(ask("half"))-1])
+	for !web.Reading(w.Front) {
+		time.Sleep(time.Millisecond)
+	}
 	cancel()
+	half.expect(408, "what has not come in whole")
+	if err := half.end(); err != io.EOF {
+		t.Errorf("its connection ends with %v", err)
+	}
 	late.expect(502, "what is out at the end")
 	late.expect(0, "its connection")
 	waits.expect(503, "what was never sent on")
