--- a/internal/discovery/reach_test.go
+++ b/internal/discovery/reach_test.go
@@ -36,6 +36,7 @@
 
 // illService answers calls over pipes: until a time each comes to some ill, and from then on each new one is answered. What was lost stays lost.
 type illService struct {
+	lock sync.Mutex
 	draw *rand.Rand
 	well time.Time
 	only string // the one ill; empty: any
@@ -49,6 +50,8 @@
 	if s.only != "" {
 		return s.only
 	}
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	return ills[s.draw.IntN(len(ills))]
 }
 
