Serve a first request that comes as its connection's time is over

By reading: a connection that has said nothing for 2.5 s is to go; a request found in its socket at that moment was read with that time as its limit, and got 408. At fault: conn.go request. It has 0.2 s more. TestFirstRequestAtTheLastMoment fails without it.

--- a/internal/web/conn.go
+++ b/internal/web/conn.go
@@ -114,6 +114,9 @@
 	limit := time.Now().Add(f.opt.Limits.Request)
 	if !c.until.IsZero() {
 		limit, c.until = c.until, time.Time{}
+		if least := time.Now().Add(lastBytes); limit.Before(least) { // it came at the last moment
+			limit = least
+		}
 	}
 	f.lock.Lock()
 	if f.phase == over {
--- a/internal/web/linger_test.go
+++ b/internal/web/linger_test.go
@@ -135,6 +135,29 @@
 	}
 }
 
+// TestFirstRequestAtTheLastMoment: one that comes as its connection has said nothing for too long is served.
+func TestFirstRequestAtTheLastMoment(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	short := limits()
+	short.First = 30 * time.Millisecond
+	on := &stage{Listener: l}
+	w := startOn(t, on, short)
+	ready := make(chan *client, 1)
+	on.at("late", func() {
+		c := <-ready
+		c.send(ask("1"))
+		for !web.Says(on.last) {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	c := w.dial(t)
+	ready <- c
+	c.expect(200, "a request at the last moment")
+}
+
 // TestLastAnswerArrives: a connection that ends with an answer does not take it along, whatever its client still sends.
 func TestLastAnswerArrives(t *testing.T) {
 	w := start(t, limits())
