--- a/cmd/irispost/web_test.go
+++ b/cmd/irispost/web_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"irispost/internal/loopback"
 	"irispost/internal/webstandin"
 )
 
@@ -39,7 +40,7 @@
 
 // startWeb starts one with so many descriptors at most. Its address is known once it is up.
 func startWeb(t testing.TB, list, more string) *webProcess {
-	l, err := net.Listen("tcp", "127.0.0.1:0") // an address that is free
+	l, err := net.Listen("tcp", loopback.Own()+":0") // an address that is free
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -229,7 +230,7 @@
 // reached and a new client is served, while the idle ones stay.
 func TestIdleClientsWhileTheListIsDown(t *testing.T) {
 	store := webstandin.Start(t)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", loopback.Own()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -22,6 +22,7 @@
 	"irispost/internal/fleet/rig"
 	"irispost/internal/fleet/rules"
 	"irispost/internal/listing"
+	"irispost/internal/loopback"
 )
 
 // FleetPlan is the keepers of a day; none where Keepers is 0.
@@ -94,7 +95,7 @@
 	held := map[string]net.Listener{}
 	for i := range f.plan.Keepers {
 		name := fmt.Sprintf("k%d", i+1)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback.Own()+":0")
 		if err != nil {
 			return err
 		}
@@ -145,7 +146,7 @@
 // reach gives each gateway an address for the others, and each pair of them a link.
 func (f *fleet) reach(gateways []string, held map[string]net.Listener) error {
 	for _, name := range gateways {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback.Own()+":0")
 		if err != nil {
 			return err
 		}
--- a/internal/fleet/follow/size_test.go
+++ b/internal/fleet/follow/size_test.go
@@ -19,6 +19,7 @@
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/keep"
 	"irispost/internal/fleet/rules"
+	"irispost/internal/loopback"
 )
 
 // TestMain has the test's own binary be a keeper where it is started as one.
@@ -61,7 +62,7 @@
 	}
 	var held []net.Listener
 	for range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback.Own()+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -16,6 +16,7 @@
 
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/rules"
+	"irispost/internal/loopback"
 )
 
 // home is three keepers' folders and addresses.
@@ -30,7 +31,7 @@
 func newHome(t *testing.T) *home {
 	h := &home{t: t, dir: t.TempDir(), peers: map[uint64]string{}, up: map[uint64]*Keeper{}}
 	for id := uint64(1); id <= 3; id++ {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback.Own()+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/keep/voters_test.go
+++ b/internal/fleet/keep/voters_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"irispost/internal/fleet/accord"
+	"irispost/internal/loopback"
 )
 
 // A keeper whose folder is lost is replaced by one with another number, while versions are proposed; with one more lost, the two that are
@@ -30,7 +31,7 @@
 		propose(n)
 	}
 	h.stop(2)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback.Own()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
