Decide under the lock whether a new connection is served or turned away

By reading: accept looked at the state of the connection that it had just admitted, without the lock; one that was dismissed in between would have been closed as if it had been turned away, with a request that had come in. At fault: front.go accept. admit says which. Not forced by a test: nothing can come between the two lines by a hook of a test; go test -race, three times.

--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -135,7 +135,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if c := f.admit(raw); c.state == fresh {
+		if c, taken := f.admit(raw); taken {
 			go c.serve()
 		} else {
 			go c.linger()
@@ -144,24 +144,25 @@
 }
 
 // admit takes a connection in, if there is room or one that can go. One for which there is none is told so, and lingers.
-func (f *Front) admit(raw net.Conn) *conn {
+func (f *Front) admit(raw net.Conn) (c *conn, taken bool) {
 	f.lock.Lock()
 	defer f.lock.Unlock()
 	now := time.Now()
 	f.count++
-	c := &conn{front: f, raw: raw, since: now, session: gateway.NewSession(f.opt.Name + "/" + strconv.FormatInt(f.count, 10)),
+	taken = f.phase < deaf && (f.serving() < f.opt.Limits.Connections || f.spare(now, f.opt.Limits.Spare/8))
+	c = &conn{front: f, raw: raw, since: now, session: gateway.NewSession(f.opt.Name + "/" + strconv.FormatInt(f.count, 10)),
 		until: now.Add(f.opt.Limits.First)}
 	c.ahead = ahead{raw: raw, most: f.opt.Limits.Message.Body + int64(f.opt.Limits.Message.Head), book: f.book}
 	raw.SetReadDeadline(c.until) // before anybody can dismiss it
 	c.in = bufio.NewReaderSize(&c.ahead, http1.LineBytes)
 	f.conns[c] = true
-	if f.serving() > f.opt.Limits.Connections && !f.spare(now, f.opt.Limits.Spare/8) || f.phase >= deaf {
+	if !taken {
 		f.refused++
 		raw.SetWriteDeadline(now.Add(lastBytes)) // nothing is in the socket yet, so it does not wait
 		raw.Write(http1.NewAnswer(503).Field("Connection", "close").Body([]byte("too many connections\n"), true))
 		c.move(lingering)
 	}
-	return c
+	return c, taken
 }
 
 // serving is the number of connections that are not on their way out; the lock is held.
