--- a/internal/serve/web.go
+++ b/internal/serve/web.go
@@ -36,7 +36,7 @@
 // StartWeb starts a gateway as the platform tells.
 func StartWeb(c *platform.Config, log *slog.Logger) (*Web, error) {
 	g := &Web{Config: c, log: log}
-	g.Nodes = webnode.NewClient(webnode.Options{Host: "origin.svc", Connect: c.Connect, Idle: c.Idle * 4 / 5, Rest: 50 * time.Millisecond,
+	g.Nodes = webnode.NewClient(webnode.Options{Host: "origin.svc", Connect: c.Connect, Idle: c.Idle * 4 / 5, Rest: 10 * time.Millisecond,
 		Most: int(nodeSockets * float64(c.Sockets)), Bounds: http1.DefaultBounds, Long: c.Memory / 64,
 		LongAll: int64(longMemory * float64(c.Memory))})
 	list, known, err := discovery.New(discovery.Options{Gateway: c.Name, Address: c.Discovery, Known: c.Known, Hold: c.Hold(),
