--- a/internal/web/linger_test.go
+++ b/internal/web/linger_test.go
@@ -27,6 +27,19 @@
 	stage *stage
 }
 
+// staged starts a front on a stage, with other limits than usual.
+func staged(t testing.TB, change func(*web.Limits)) (*town, *stage) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	most, on := limits(), &stage{Listener: l}
+	if change != nil {
+		change(&most)
+	}
+	return startOn(t, on, most), on
+}
+
 func (s *stage) Accept() (net.Conn, error) {
 	c, err := s.Listener.Accept()
 	if err != nil {
@@ -91,12 +104,7 @@
 		served bool
 	}{{"read", true}, {"late", true}, {"end", false}} {
 		t.Run(c.step, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			on := &stage{Listener: l}
-			w := startOn(t, on, limits())
+			w, on := staged(t, nil)
 			rests := w.dial(t)
 			rests.send(ask("1"))
 			rests.expect(200, "before")
@@ -137,14 +145,7 @@
 
 // TestFirstRequestAtTheLastMoment: one that comes as its connection has said nothing for too long is served.
 func TestFirstRequestAtTheLastMoment(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	short := limits()
-	short.First = 30 * time.Millisecond
-	on := &stage{Listener: l}
-	w := startOn(t, on, short)
+	w, on := staged(t, func(l *web.Limits) { l.First = 30 * time.Millisecond })
 	ready := make(chan *client, 1)
 	on.at("late", func() {
 		c := <-ready
@@ -205,14 +206,7 @@
 // TestNoRoomAhead: what a client sends before its turn is held only while there is room; past that the connection ends with the answer that is due, in order,
 // and what was dropped is not sent on.
 func TestNoRoomAhead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	few := limits()
-	few.Bodies = 6
-	on := &stage{Listener: l}
-	w := startOn(t, on, few)
+	w, on := staged(t, func(l *web.Limits) { l.Bodies = 6 })
 	w.nodes.hold = true
 	c := w.dial(t)
 	c.send(ask("x"))
