--- a/cmd/irispost/fleet_test.go
+++ b/cmd/irispost/fleet_test.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -128,34 +126,9 @@
 		t.Fatal(err)
 	}
 	defer trap.Close()
-	file := filepath.Join(t.TempDir(), "proxy.json")
-	if err := os.WriteFile(file, []byte(fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":256},
-		"settings":{"discovery":"ask","contract":{"ask_every_ms":40000.0},"contracts":[{"name":"gold","proportion":1.0,"base_rate":1000.0,"floor_rate":1000.0}],
-		"domain":{"unit_mean":2.0,"largest":8},"lanes":[{"name":"read","effect":"read_like","target_ms":60000.0,"hard_limit_ms":120000.0}],
-		"permissions":{"attempts_cap":3,"second_copies":true,"cancelling":true,"retry_after":true,"max_retry_after_ms":1000.0,"dial_timeout_ms":5000.0,
-		"idle_close_ms":60000.0}}}`, list.Listener.Addr().String())), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(self, "web")
-	cmd.Env = append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+file, "IRISPOST_KEEPERS="+trap.Addr().String())
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Wait()
-	defer cmd.Process.Kill()
-	lines := bufio.NewScanner(log)
-	for lines.Scan() && !strings.Contains(lines.Text(), "serves") {
-	}
+	w := startWeb(t, list.Listener.Addr().String(), "", "IRISPOST_KEEPERS="+trap.Addr().String())
 	<-asked // by now it watches its list
-	listen, to, others := sockets(t, cmd.Process.Pid)
+	listen, to, others := sockets(t, w.Process.Pid)
 	_, port, _ := net.SplitHostPort(list.Listener.Addr().String())
 	var number int
 	fmt.Sscan(port, &number)
--- a/cmd/irispost/web_test.go
+++ b/cmd/irispost/web_test.go
@@ -39,7 +39,7 @@
 }
 
 // startWeb starts one with so many descriptors at most. Its address is known once it is up.
-func startWeb(t testing.TB, list, more string) *webProcess {
+func startWeb(t testing.TB, list, more string, env ...string) *webProcess {
 	l, err := net.Listen("tcp", loopback.Own()+":0") // an address that is free
 	if err != nil {
 		t.Fatal(err)
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	w.Cmd = exec.Command("/bin/sh", "-c", `ulimit -n 128; exec "$0" web`, self)
-	w.Env = append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+w.file)
+	w.Env = append(append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+w.file), env...)
 	log, err := w.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
