Let who starts a follower say how it opens connections to keepers

Bytes for control have to be counted at the sockets of each gateway, and links be put between regions. Options.Dial opens connections; without it all is as before. The follower's tests pass.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -37,11 +37,15 @@
 	Members func(*accord.Members)         // who is present, with each lease of one that is reached; it must not wait
 	Own     decide.Terms                  // the gateway's own: what no version has counts from there
 	Differs func(r *rules.Rules) []string // in what the gateway's own configuration contradicts a version; nil: not asked
+	Dial    Dial                          // opens connections to keepers; nil: a net.Dialer that gives up after Pause
 	Record  string                        // file for what was acted on from when; empty: none
 	Flaws   accord.Flaws
 	Log     *slog.Logger
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Following is a gateway that follows.
 type Following struct {
 	opt    Options
@@ -67,6 +71,9 @@
 
 // Start begins to follow.
 func Start(opt Options) (*Following, error) {
+	if opt.Dial == nil {
+		opt.Dial = (&net.Dialer{Timeout: opt.Pause}).DialContext
+	}
 	boot := opt.Who
 	if boot == "" {
 		boot = Boot(opt.Gateway)
@@ -104,7 +111,7 @@
 func (f *Following) run(ctx context.Context) {
 	chance := rand.New(rand.NewPCG(f.opt.Seed, 7))
 	within := f.opt.Pause
-	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: within}).DialContext, MaxIdleConnsPerHost: 1}}}
+	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: f.opt.Dial, MaxIdleConnsPerHost: 1}}}
 	least := f.opt.Pause / 16
 	wait := least
 	f.which.Store(int64(chance.IntN(len(f.opt.Keepers))))
@@ -172,7 +179,7 @@
 // watch waits at the keeper that is asked for news, so that leases alone have to be asked for. A call that breaks, falls silent or is
 // refused has the gateway ask as often as without.
 func (f *Following) watch(ctx context.Context) {
-	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: f.opt.Pause}).DialContext, MaxIdleConnsPerHost: 1}}}
+	client := &keep.Client{HTTP: &http.Client{Transport: &http.Transport{DialContext: f.opt.Dial, MaxIdleConnsPerHost: 1}}}
 	chance := rand.New(rand.NewPCG(f.opt.Seed, 11))
 	for ctx.Err() == nil {
 		f.lock.Lock()
