Count bytes at sockets, processor time and memory in one small package: meter

Need: figures of the fleet's size are counted at the sockets, and several measurements want the same counters.

--- a/cmd/irispost/size.go
+++ b/cmd/irispost/size.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +17,7 @@
 	"irispost/internal/fleet/follow"
 	"irispost/internal/fleet/keep"
 	"irispost/internal/fleet/rules"
+	"irispost/internal/scale/meter"
 )
 
 // crowd is many followers of three keepers, over real sockets.
@@ -76,19 +76,6 @@
 	return err
 }
 
-// spent is a process's time of the processor so far, and its memory in MB.
-func spent(cmd *exec.Cmd) (cpu time.Duration, memory float64, err error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", cmd.Process.Pid))
-	if err != nil {
-		return 0, 0, err
-	}
-	f := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
-	user, _ := strconv.ParseInt(f[11], 10, 64)
-	system, _ := strconv.ParseInt(f[12], 10, 64)
-	pages, _ := strconv.ParseFloat(f[21], 64)
-	return time.Duration(user+system) * 10 * time.Millisecond, pages * float64(os.Getpagesize()) / 1e6, nil
-}
-
 func sizeCommand() *cobra.Command {
 	c := &cobra.Command{Use: "bench", Short: "Measure keepers with many followers on this machine", Args: cobra.NoArgs}
 	count := c.Flags().Int("followers", 300, "followers, all in this process")
@@ -141,19 +128,19 @@
 	time.Sleep(idle / 4) // what the start has left to do
 	var before []time.Duration
 	for _, k := range keepers {
-		cpu, _, err := spent(k)
+		used, err := meter.Process(k.Process.Pid)
 		if err != nil {
 			return err
 		}
-		before = append(before, cpu)
+		before = append(before, used.CPU)
 	}
 	time.Sleep(idle)
 	for i, k := range keepers {
-		cpu, memory, err := spent(k)
+		used, err := meter.Process(k.Process.Pid)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "idle, keeper %d: %.1f%% of a core, %.1f MB\n", i+1, 100*float64(cpu-before[i])/float64(idle), memory)
+		fmt.Fprintf(out, "idle, keeper %d: %.1f%% of a core, %.1f MB\n", i+1, 100*float64(used.CPU-before[i])/float64(idle), used.MB)
 	}
 	var announced, acting []time.Duration
 	for n := 2; n <= changes+1; n++ {
