--- a/internal/fleet/rig/agree_test.go
+++ b/internal/fleet/rig/agree_test.go
@@ -4,20 +4,24 @@
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"irispost/internal/fleet/rules"
 	"irispost/internal/listing"
 )
 
+// owned is a version by which a node serves the only shard.
+func owned(n uint64, owner string, floor int64) *rules.Version {
+	r := &rules.Rules{Needs: 1, Shards: 1, Mean: 1, Plans: map[string]rules.Plan{"p": {Weight: 1}}, Products: map[string]rules.Product{},
+		Sending: rules.Sending{Most: 1}, Nodes: map[string]rules.Node{"a": {Standing: listing.Draining}, "b": {Standing: listing.Draining}},
+		Floor: rules.Floor{For: floor, Limits: 1}}
+	r.Nodes[owner] = rules.Node{}
+	return &rules.Version{Number: n, Digest: r.Digest(), Rules: r.Canonical()}
+}
+
 // The audit's own checks, on records made by hand: what it has to find, and what only looks like it.
 func TestAgree(t *testing.T) {
-	version := func(n uint64, owner string, floor int64) *rules.Version {
-		r := &rules.Rules{Needs: 1, Shards: 1, Mean: 1, Plans: map[string]rules.Plan{"p": {Weight: 1}}, Products: map[string]rules.Product{},
-			Sending: rules.Sending{Most: 1}, Nodes: map[string]rules.Node{"a": {Standing: listing.Draining}, "b": {Standing: listing.Draining}},
-			Floor: rules.Floor{For: floor, Limits: 1}}
-		r.Nodes[owner] = rules.Node{}
-		return &rules.Version{Number: n, Digest: r.Digest(), Rules: r.Canonical()}
-	}
-	versions := []*rules.Version{version(1, "a", 50), version(2, "b", 50), version(3, "b", 0)}
+	versions := []*rules.Version{owned(1, "a", 50), owned(2, "b", 50), owned(3, "b", 0)}
 	for _, c := range []struct {
 		name, one, other string
 		worst            float64
@@ -42,9 +46,33 @@
 			}
 			records[name] = list
 		}
+		if a, err := Sweep(records, versions, 10e6, 100e6); err != nil || a.Worst != c.worst || a.Broken != c.broken || a.Pairs != 1 {
+			t.Errorf("%s, in one walk: %+v, %v", c.name, a, err)
+		}
 		a, err := Agree(records, versions, 10e6, 100e6)
 		if err != nil || a.Worst != c.worst || a.Broken != c.broken || a.Pairs != 1 {
 			t.Errorf("%s: %+v, %v", c.name, a, err)
 		}
 	}
 }
+
+// What the walk over time finds is never under what the pairs come to, and nothing where they come to nothing.
+func TestSweepIsNeverUnderAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := []*rules.Version{owned(1, "a", 50), owned(2, "b", 50), owned(3, "b", 0)}
+		records := map[string][]Acts{}
+		for _, who := range []string{"x", "y", "z"} {
+			at := int64(0)
+			for range rapid.IntRange(1, 6).Draw(t, "changes") {
+				records[who] = append(records[who], Acts{At: at, Floor: rapid.Bool().Draw(t, "floor"),
+					Holds: rapid.SliceOfNDistinct(rapid.Uint64Range(1, 3), 0, 2, rapid.ID).Draw(t, "holds")})
+				at += rapid.Int64Range(1, 30).Draw(t, "later") * 1e6
+			}
+		}
+		pairs, err := Agree(records, versions, 10e6, 200e6)
+		walk, err2 := Sweep(records, versions, 10e6, 200e6)
+		if err != nil || err2 != nil || walk.Worst < pairs.Worst || (walk.Worst == 0) != (pairs.Worst == 0) {
+			t.Fatalf("pairs %+v %v, walk %+v %v", pairs, err, walk, err2)
+		}
+	})
+}
--- a/internal/fleet/rig/link.go
+++ b/internal/fleet/rig/link.go
@@ -15,6 +15,7 @@
 type Link struct {
 	listener net.Listener
 	to       string
+	latency  time.Duration
 	lock     sync.Mutex
 	fault    Fault
 	pairs    map[*pair]bool
@@ -58,12 +59,16 @@
 }
 
 // NewLink starts a link to an address.
-func NewLink(to string) (*Link, error) {
+func NewLink(to string) (*Link, error) { return NewLongLink(to, 0) }
+
+// NewLongLink starts a link on which each byte is under way for so long, in either direction. What follows it does not wait for it, but
+// for what is under way at once: longMost pieces.
+func NewLongLink(to string, latency time.Duration) (*Link, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{listener: l, to: to, pairs: map[*pair]bool{}, quit: make(chan struct{})}
+	link := &Link{listener: l, to: to, latency: latency, pairs: map[*pair]bool{}, quit: make(chan struct{})}
 	link.done.Add(1)
 	go link.accept()
 	return link, nil
@@ -152,7 +157,13 @@
 }
 
 // pass passes bytes on in one direction.
-func (l *Link) pass(p *pair, to, from *net.TCPConn, lost func(Fault) bool) {
+func (l *Link) pass(p *pair, to, conn *net.TCPConn, lost func(Fault) bool) {
+	from := io.Reader(conn)
+	if l.latency > 0 {
+		late := newLate(conn, l.latency)
+		defer late.leave()
+		from = late
+	}
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
--- a/internal/serve/follow.go
+++ b/internal/serve/follow.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 
-	"irispost/decide"
 	"irispost/internal/fleet/accord"
 	"irispost/internal/fleet/cold/agent"
 	"irispost/internal/fleet/follow"
@@ -31,7 +30,7 @@
 		}
 		return nil, err
 	}
-	opt.Rules = acting{g.follow, g.cold}
+	opt.Rules = agent.Acting{Rules: g.follow, Agent: g.cold}
 	g.Loop = gateway.Start(*opt)
 	close(stands)
 	if g.cold != nil {
@@ -43,21 +42,6 @@
 // clockDrift is the part by which two gateways' clocks may run apart, as loans are counted.
 const clockDrift = 0.01
 
-// acting has what a gateway acts on count for the budgets of cold nodes too.
-type acting struct {
-	*follow.Following
-	cold *agent.Agent
-}
-
-// At is the following's.
-func (a acting) At(now decide.Time) (*gateway.Acts, decide.Time) {
-	acts, until := a.Following.At(now)
-	if a.cold != nil && acts != nil && acts.Terms != nil {
-		a.cold.Agree(acts.Terms)
-	}
-	return acts, until
-}
-
 // flaws are what a test of the fleet has switched off, to show that its audit notices. Nothing else sets them.
 func flaws() accord.Flaws {
 	if os.Getenv("IRISPOST_TEST_NO_LEASES") == "1" {
