--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,258 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"irispost/decide"
+	"irispost/internal/fleet/accord"
+	"irispost/internal/fleet/cold/agent"
+	"irispost/internal/fleet/follow"
+	"irispost/internal/fleet/rig"
+	"irispost/internal/gateway"
+	"irispost/internal/node"
+	"irispost/internal/scale/meter"
+)
+
+// Hollow is a gateway without clients.
+type Hollow struct {
+	Name    string
+	fleet   *Fleet
+	number  int
+	zone    int
+	reach   []string      // addresses of the keepers, as it reaches them
+	private []*rig.Link   // its own links to them; none: it shares those of its zone
+	gate    sync.RWMutex  // held while it stands still
+	slow    atomic.Int64  // nanoseconds that each look at what it acts on takes
+	bytes   meter.Bytes   // of following, both ways
+	before  bool          // it asks in the form of the build before
+	flaw    Flaw          // a defect that a test put in
+	lost    atomic.Uint64 // with LoseVersion: the version that it is not told of
+
+	lock    sync.Mutex
+	there   bool
+	starts  int
+	witness *witness
+	nodes   *nowhere
+	loop    *gateway.Loop
+	follow  *follow.Following
+	cold    *agent.Agent
+	record  string // file, of this start
+	read    int64  // bytes of it that were read
+	acts    []rig.Acts
+}
+
+// Flaw is a defect that a test puts in, to show that a case sees it.
+type Flaw uint
+
+// The defects.
+const (
+	LoseVersion Flaw = 1 << iota // a gateway's module is not told of one version
+	LeftOut                      // a gateway is not started again
+	Leak                         // a gateway keeps each list
+	NoLease                      // leases never run out at a gateway
+	TurnsBack                    // a gateway's module is told of the version before once more
+)
+
+// standing is the time of a process that may stand still.
+type standing struct {
+	gateway.Clock
+	gate *sync.RWMutex
+}
+
+// Now waits while the process stands still.
+func (s standing) Now() decide.Time {
+	s.gate.RLock()
+	defer s.gate.RUnlock()
+	return s.Clock.Now()
+}
+
+// gated is a connection of a process that may stand still.
+type gated struct {
+	net.Conn
+	gate *sync.RWMutex
+}
+
+func (g gated) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	g.gate.RLock()
+	defer g.gate.RUnlock()
+	return n, err
+}
+
+func (g gated) Write(b []byte) (int, error) {
+	g.gate.RLock()
+	g.gate.RUnlock()
+	return g.Conn.Write(b)
+}
+
+// looks is what the loop asks, each time before it decides.
+type looks struct {
+	gateway.Rules
+	h    *Hollow
+	last *gateway.Acts
+}
+
+// At is the follower's, for a slow gateway after a while, and for one with a defect without what it loses.
+func (l *looks) At(now decide.Time) (*gateway.Acts, decide.Time) {
+	if slow := l.h.slow.Load(); slow > 0 {
+		time.Sleep(time.Duration(slow))
+	}
+	acts, until := l.Rules.At(now)
+	if acts == nil {
+		return nil, until
+	}
+	if lost := l.h.lost.Load(); lost > 0 && alone(acts.List.Version) == lost {
+		if l.h.flaw&LoseVersion != 0 {
+			return nil, until
+		}
+		if l.h.flaw&TurnsBack != 0 && l.last != nil {
+			l.h.lost.Store(0)
+			go func() {
+				l.h.loop.List(acts.List)
+				l.h.loop.List(l.last.List)
+			}()
+			return acts, until
+		}
+	}
+	if alone(acts.List.Version) > 0 {
+		l.last = acts
+	}
+	return acts, until
+}
+
+// start starts it, as the program puts a gateway together that follows: internal/serve.
+func (h *Hollow) start() (err error) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	s := &h.fleet.Size
+	h.starts++
+	h.witness = &witness{shards: s.Nodes, leaks: h.flaw&Leak != 0}
+	h.nodes = &nowhere{}
+	h.record, h.read = filepath.Join(h.fleet.opt.Dir, fmt.Sprintf("%s.%d.acts", h.Name, h.starts)), 0
+	clock := standing{gateway.NewClock(), &h.gate}
+	stands := make(chan struct{})
+	var loop *gateway.Loop
+	who := follow.Boot(h.Name)
+	o := follow.Options{Gateway: h.Name, Who: who, Keepers: h.reach, Pause: s.Pause, Now: clock.Now, Wake: func() { <-stands; loop.Wake() },
+		Seed: uint64(h.number), Own: h.fleet.own, Record: h.record, Log: h.fleet.opt.Log, Dial: h.dial()}
+	if h.flaw&NoLease != 0 {
+		o.Flaws = accord.NoLease
+	}
+	if h.before {
+		formBefore(&o)
+	}
+	h.cold = nil
+	if s.Cold {
+		if h.cold, err = agent.Listen(agent.Options{Gateway: h.Name, Who: who, Listen: "127.0.0.1:0", Terms: agent.Terms(h.fleet.own, 0.01), Now: clock.Now,
+			Log: h.fleet.opt.Log}); err != nil {
+			return err
+		}
+		o.Peer, o.Members = h.cold.Addr(), h.cold.Granted
+	}
+	if h.follow, err = follow.Start(o); err != nil {
+		return err
+	}
+	loop = gateway.Start(gateway.Options{Name: h.Name, Seed: uint64(h.number), Terms: h.fleet.own, Queue: 256, Clock: clock, Nodes: h.nodes,
+		Rules: agent.Acting{Rules: &looks{Rules: h.follow, h: h}, Agent: h.cold}, Log: h.fleet.opt.Log, Tap: h.witness})
+	h.loop = loop
+	close(stands)
+	if h.cold != nil {
+		h.cold.Begin(h.loop)
+	}
+	h.there = true
+	return nil
+}
+
+// dial opens its connections to keepers: what passes is counted, and stands still with it.
+func (h *Hollow) dial() follow.Dial {
+	plain := (&net.Dialer{Timeout: h.fleet.Size.Pause}).DialContext
+	counted := meter.Dialer(plain, func(string) []*meter.Bytes { return []*meter.Bytes{&h.bytes, &h.fleet.bytes} })
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := counted(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return gated{c, &h.gate}, nil
+	}
+}
+
+// kill ends it as a crash does: nobody is told. From then on it acts on nothing.
+func (h *Hollow) kill() {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if !h.there {
+		return
+	}
+	h.there = false
+	h.loop.Stop()
+	h.follow.Close()
+	if h.cold != nil {
+		h.cold.Close()
+	}
+	h.readActs()
+	h.acts = append(h.acts, rig.Acts{At: monotonic()})
+	os.Remove(h.record)
+}
+
+// acting tells what its module was told last to act on.
+func (h *Hollow) acting() string {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if !h.there {
+		return "not there"
+	}
+	return h.witness.acts()
+}
+
+// seen is what its module was told since the last forget.
+func (h *Hollow) seen() (turns []Turn, serves []string) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.witness.seen()
+}
+
+// readActs reads on in the follower's own record of what it acted on; the lock is held.
+func (h *Hollow) readActs() error {
+	file, err := os.Open(h.record)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if _, err := file.Seek(h.read, io.SeekStart); err != nil {
+		return err
+	}
+	b, err := io.ReadAll(file)
+	if err != nil {
+		return err
+	}
+	b = b[:bytes.LastIndexByte(b, '\n')+1] // a line that is being written is read the next time
+	list, err := rig.ReadActs(bytes.NewReader(b))
+	h.read += int64(len(b))
+	h.acts = append(h.acts, list...)
+	return err
+}
+
+// probe has its module place a job of a shard, and tells at which node it was begun. "": at none.
+func (h *Hollow) probe(shard int) string {
+	h.lock.Lock()
+	loop, nodes := h.loop, h.nodes
+	h.lock.Unlock()
+	mark := fmt.Sprintf("%s probe %d", h.Name, probes.Add(1))
+	w := &gateway.Work{Volume: &gateway.Volume{ID: 1, Plan: "basic", Hosts: 1}, Product: "read", Units: 1, StopBy: loop.Now() + int64(h.fleet.Size.Patience),
+		Call: node.Call{Mark: mark, Shard: shard, Op: node.Get, Name: "probe"}}
+	<-loop.Do(nil, w)
+	addr, _ := nodes.begun.LoadAndDelete(mark)
+	to, _ := addr.(string)
+	return to
+}
+
+var probes atomic.Int64
--- /dev/null
+++ b/internal/scale/witness.go
@@ -0,0 +1,120 @@
+package scale
+
+import (
+	"sync"
+
+	"golang.org/x/sys/unix"
+
+	"irispost/decide"
+	"irispost/internal/listing"
+)
+
+// monotonic is the machine's clock, which the records of what is acted on are written by too.
+func monotonic() int64 {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	return t.Nano()
+}
+
+// witness listens to all that a gateway's module is told, and notes of each list what it has the module act on.
+type witness struct {
+	lock   sync.Mutex
+	shards int
+	serves []string // by shard: the node to send to, as the module was told last; "": none
+	turns  []Turn
+	kept   []listing.List // a leak that was put in
+	leaks  bool
+}
+
+// Listed notes a list.
+func (w *witness) Listed(_ decide.Time, l listing.List) {
+	t := Turn{At: monotonic(), Acts: l.Version}
+	serves := make([]string, w.shards)
+	for _, n := range l.Nodes {
+		if n.Standing == listing.Ready && n.Shard < w.shards {
+			serves[n.Shard] = n.Addr
+		}
+	}
+	w.note(t, serves, l)
+}
+
+// ListedPart notes what has changed in a list.
+func (w *witness) ListedPart(now decide.Time, l listing.List, whole bool) {
+	if whole {
+		w.Listed(now, l)
+		return
+	}
+	t := Turn{At: monotonic(), Acts: l.Version}
+	w.lock.Lock()
+	serves := make([]string, w.shards)
+	copy(serves, w.serves)
+	w.lock.Unlock()
+	for _, n := range l.Nodes { // those that go first: a shard's successor may stand before its old node
+		if n.Standing != listing.Ready && n.Shard < w.shards && serves[n.Shard] == n.Addr {
+			serves[n.Shard] = ""
+		}
+	}
+	for _, n := range l.Nodes {
+		if n.Standing == listing.Ready && n.Shard < w.shards {
+			serves[n.Shard] = n.Addr
+		}
+	}
+	w.note(t, serves, l)
+}
+
+func (w *witness) note(t Turn, serves []string, l listing.List) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.leaks {
+		w.kept = append(w.kept, l)
+	}
+	for shard, addr := range serves {
+		if len(w.serves) > 0 && addr != w.serves[shard] { // the first list is what others are held against
+			if t.Moved == nil {
+				t.Moved = map[int]string{}
+			}
+			t.Moved[shard] = addr
+		}
+	}
+	w.serves, w.turns = serves, append(w.turns, t)
+}
+
+// acts is what the module was told last to act on.
+func (w *witness) acts() string {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if len(w.turns) == 0 {
+		return "none yet"
+	}
+	return w.turns[len(w.turns)-1].Acts
+}
+
+// seen is what was noted since the last forget, and which node serves each shard now.
+func (w *witness) seen() (turns []Turn, serves []string) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.turns, w.serves
+}
+
+// forget leaves the last turn only.
+func (w *witness) forget() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if n := len(w.turns); n > 0 {
+		w.turns = []Turn{{At: w.turns[n-1].At, Acts: w.turns[n-1].Acts}}
+	}
+}
+
+// What else passes the module is of no interest here.
+
+func (w *witness) Start(decide.Time, uint64, decide.Terms)                             {}
+func (w *witness) ListFailed(decide.Time, bool)                                        {}
+func (w *witness) Agreed(decide.Time, decide.Terms)                                    {}
+func (w *witness) Lent(decide.Time, string, decide.Time, float64, decide.Time)         {}
+func (w *witness) Take(decide.Time, *decide.Job, int64, string, string, float64, bool) {}
+func (w *witness) Ended(decide.Time, string, int, decide.Outcome, decide.Time, bool, float64, int, decide.Time) {
+}
+func (w *witness) Left(decide.Time, string)              {}
+func (w *witness) Decided(decide.Time, *decide.Decision) {}
+func (w *witness) State(decide.Time, *decide.Gateway)    {}
+func (w *witness) Blind() bool                           { return false }
