--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -53,6 +53,7 @@
 	{Name: "serving_mb", Unit: "MB", Work: func(c *Calc) { // the program with its list, clients that rest, and a connection to each node
 		c.Value = c.At("web_mb_by_nodes", c.Nodes) + c.Slope("web_mb_by_connections")*c.Connections + c.Slope("web_mb_by_node_connections")*c.Nodes
 	}},
+	{Name: "serving_busy_mb", Unit: "MB", Work: at("web_mb_by_requests", requests)},
 	{Name: "serving_half_mb", Unit: "MB", Work: func(c *Calc) { // all clients stop in the middle of a request
 		c.Value = c.At("web_mb_by_nodes", c.Nodes) + c.Slope("web_mb_by_half_requests")*c.Connections + c.Slope("web_mb_by_node_connections")*c.Nodes
 	}},
--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -53,11 +53,19 @@
 
 func begin(t *testing.T) *set {
 	measured(t)
-	b, err := exec.Command("git", "describe", "--always", "--dirty", "--exclude=*").Output()
+	commit, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
 	if err != nil {
 		t.Fatalf("no commit to name: %v", err)
 	}
-	return &set{t: t, commit: strings.TrimSpace(string(b)), command: "IRISPOST_MEASURE=1 go test -run '" + t.Name() + "$' ./internal/capacity"}
+	changed, err := exec.Command("git", "status", "--porcelain", "--untracked-files=no", ":/", ":!/docs").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := strings.TrimSpace(string(commit))
+	if len(changed) > 0 {
+		name += " and changes"
+	}
+	return &set{t: t, commit: name, command: "IRISPOST_MEASURE=1 go test -run '" + t.Name() + "$' ./internal/capacity"}
 }
 
 // add notes what one size came to.
