--- a/internal/capacity/failures.go
+++ b/internal/capacity/failures.go
@@ -8,7 +8,12 @@
 		{Name: "fail_t", Unit: "ms until nobody acts on the old version alone", Work: func(c *Calc) { c.Value = statedT }},
 		{Name: "fail_election", Unit: "ms at most until another keeper leads", Work: func(c *Calc) { c.Value = electionLong * 1000 }},
 		{Name: "fail_keeper_in_force", Unit: "ms, worked out without the transit of messages", Bound: inForceMS, Work: func(c *Calc) { c.Value = electionLong*1000 + statedT }},
-		{Name: "fail_keeper_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_keeper_killed_worst_ms_by_gateways", gateways)},
+		{Name: "fail_keeper_worst", Unit: "ms", Bound: inForceMS, Work: at("control_in_force_killed_ms_worst_by_followers", gateways)},
+		{Name: "fail_gateway_worst", Unit: "ms", Bound: inForceMS, Work: func(c *Calc) {
+			for _, fault := range []string{"killed", "slow", "stopped", "mute", "deaf"} {
+				c.Value = max(c.Value, c.At("scale_in_force_last_ms_gateway_"+fault+"_worst_by_gateways", c.Gateways))
+			}
+		}},
 		{Name: "restart_every", Unit: "s between restarts", Work: func(c *Calc) { c.Value = daySeconds / c.Restarts }},
 		{Name: "restart_whole_bytes_s", Unit: "bytes a second at the leading keeper, whole versions at each start", Work: func(c *Calc) {
 			c.Value = (c.Restarts + c.Failures) * c.At("version_bytes_by_nodes", c.Nodes) * 4 / 3 / daySeconds
@@ -18,11 +23,12 @@
 	lost("rack", func(s Size) (float64, float64) { return math.Ceil(s.Gateways / s.Racks), math.Floor(s.Nodes / s.Racks) }),
 	lost("zone", func(s Size) (float64, float64) { return s.ZoneGateways, s.ZoneNodes }),
 	[]Figure{
-		{Name: "rack_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_rack_worst_ms_by_gateways", gateways)},
-		{Name: "zone_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_zone_worst_ms_by_gateways", gateways)},
-		{Name: "all_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_all_worst_ms_by_gateways", gateways)},
-		{Name: "cut_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_cut_worst_ms_by_gateways", gateways)},
-		{Name: "cut_together_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_together_worst_ms_by_gateways", gateways)},
+		{Name: "rack_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_in_force_last_ms_rack_killed_worst_by_gateways", gateways)},
+		{Name: "zone_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_in_force_last_ms_zone_killed_worst_by_gateways", gateways)},
+		{Name: "zone_back_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_zone_acts_after_start_ms_worst_by_gateways", gateways)},
+		{Name: "all_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_all_acts_after_start_ms_worst_by_gateways", gateways)},
+		{Name: "cut_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_regions_in_force_cut_ms_worst_by_gateways", gateways)},
+		{Name: "cut_together_worst", Unit: "ms", Bound: inForceMS, Work: at("scale_regions_together_again_ms_by_gateways", gateways)},
 		{Name: "cut_drain_wait", Unit: "s that a drain waits, with a floor of the whole cut", Bound: inForceMS / 1000, Work: func(c *Calc) { c.Value = c.Cut }},
 		{Name: "cut_drain_wait_zero", Unit: "s that a drain waits, with no floor", Bound: inForceMS / 1000, Work: func(c *Calc) { c.Value = statedT / 1000 }},
 		{Name: "cut_unserved_zero", Unit: "s in which the cut region serves nothing, with no floor", Work: func(c *Calc) { c.Value = c.Cut - lease }},
--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -80,7 +80,7 @@
 	{Name: "control_rest_bytes_s", Unit: "bytes a second", Bound: controlBytes, Goal: goalRest, Work: at("control_rest_bytes_s_by_followers", gateways)},
 	{Name: "control_change_bytes", Unit: "bytes a change", Goal: goalChange, Work: at("control_change_bytes_by_followers", gateways)},
 	{Name: "control_day_bytes_s", Unit: "bytes a second", Bound: controlBytes, Goal: goalDay, Work: func(c *Calc) {
-		c.Value = c.At("control_rest_bytes_s_by_followers", c.Gateways) + c.At("control_change_bytes_by_followers", c.Gateways)*c.Changes/daySeconds
+		c.Value = c.At("control_rest_bytes_s_by_followers", c.Gateways) + c.At("control_change_bytes_mean_by_followers", c.Gateways)*c.Changes/daySeconds
 	}},
 	{Name: "control_rest_core", Unit: "% of a core", Bound: controlCore, Goal: goalCore, Work: func(c *Calc) {
 		c.Value = 100 * c.At("control_follower_core_by_followers", c.Gateways)
@@ -95,10 +95,11 @@
 	{Name: "control_in_force_worst", Unit: "ms", Bound: inForceMS, Goal: goalInForce, Work: at("control_in_force_ms_worst_by_followers", gateways)},
 	{Name: "control_first_start_ms", Unit: "ms", Work: at("control_first_start_ms_by_followers", gateways)},
 	{Name: "control_again_ms", Unit: "ms", Work: at("control_again_ms_by_followers", gateways)},
-	{Name: "control_replaced_worst", Unit: "ms", Bound: replacedMS, Work: at("scale_replaced_worst_ms_by_gateways", gateways)},
+	{Name: "control_replaced_worst", Unit: "ms", Bound: replacedMS, Work: at("scale_replaced_last_turned_ms_worst_by_gateways", gateways)},
 	{Name: "control_list_bytes_s", Unit: "bytes a second", Bound: controlBytes, Work: func(c *Calc) {
 		c.Value = c.At("list_call_bytes_by_nodes", c.Nodes)/listHold + c.At("list_change_bytes_by_nodes", c.Nodes)*c.Changes/daySeconds
 	}},
+	{Name: "control_list_whole_ms", Unit: "ms", Work: at("list_whole_take_ms_by_nodes", nodes)},
 	{Name: "control_list_core", Unit: "% of a core", Bound: controlCore, Work: func(c *Calc) {
 		c.Value = (c.At("list_take_us_by_nodes", c.Nodes) + c.At("module_list_us_by_nodes", c.Nodes)) * c.Changes / daySeconds / 1e4
 	}},
@@ -115,7 +116,14 @@
 	}},
 	{Name: "leading_core", Unit: "% of a core", Work: func(c *Calc) { c.Value = 100 * c.At("control_keeper_core_by_followers", c.Gateways) }},
 	{Name: "leading_mb", Unit: "MB", Work: at("control_keeper_mb_by_followers", gateways)},
-	{Name: "leading_mb_change", Unit: "MB a change", Work: func(c *Calc) { c.Value = c.Slope("control_keeper_mb_by_changes") }},
+	{Name: "leading_mb_history", Unit: "times what it was after 500 changes", Goal: goalHistory, Work: func(c *Calc) {
+		c.Value = c.At("history_keeper_mb_by_changes", 10_000) / c.At("history_keeper_mb_by_changes", 500)
+	}},
+	{Name: "leading_folder_history", Unit: "times what it was after 500 changes", Goal: goalHistory, Work: func(c *Calc) {
+		c.Value = c.At("history_folder_bytes_by_changes", 10_000) / c.At("history_folder_bytes_by_changes", 500)
+	}},
+	{Name: "leading_start_ms", Unit: "ms", Goal: goalStart, Work: at("history_start_ms_by_nodes", nodes)},
+	{Name: "other_join_mb", Unit: "MB", Goal: goalKeeperMB, Work: func(c *Calc) { c.Value = c.At("history_join_bytes_by_nodes", c.Nodes) / 1e6 }},
 	{Name: "leading_connections", Unit: "connections", Work: func(c *Calc) { c.Value = 2 * c.Gateways }},
 }
 
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -39,10 +39,7 @@
 
 // Fill writes a page anew with what the records come to. What stands outside of marks stays; marks that name no figure are an error.
 func Fill(page string, all Records, s Size) (string, error) {
-	results, err := Results(all, s)
-	if err != nil {
-		return "", err
-	}
+	results := Results(all, s)
 	var wrong error
 	page = mark.ReplaceAllStringFunc(page, func(m string) string {
 		p := mark.FindStringSubmatch(m)
@@ -64,10 +61,7 @@
 // missing, an entry for a bound that is kept, a failure in front of an ordinary day.
 func Check(page string, all Records, s Size) (wrong []string) {
 	say := func(format string, args ...any) { wrong = append(wrong, fmt.Sprintf(format, args...)) }
-	results, err := Results(all, s)
-	if err != nil {
-		return []string{err.Error()}
-	}
+	results := Results(all, s)
 	for name, make := range blocks {
 		m := block(name).FindStringSubmatch(page)
 		if m == nil || m[1] != make(all, results) {
@@ -166,7 +160,7 @@
 	var b strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(results)) {
 		if r := results[name]; r.How == "" && r.Bound+r.Goal > 0 {
-			fmt.Fprintf(&b, "- %s: held against %s; lacks %s\n", name, r.Limit(), strings.Join(r.Missing, ", "))
+			fmt.Fprintf(&b, "- %s: held against %s; lacks %s\n", name, r.Limit(), strings.Join(slices.Sorted(maps.Keys(r.Lacks)), ", "))
 		}
 	}
 	if b.Len() == 0 {
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -40,6 +40,8 @@
 	goalInForce  = 3000 // ms, without faults
 	goalLeaderMB = 4    // out of the leading keeper, a change
 	goalKeeperMB = 10   // for a keeper that joins
+	goalHistory  = 1.3  // memory and folder after 10,000 changes, over those after 500
+	goalStart    = 2000 // ms, from such a folder
 )
 
 // Settings of the program that the figures rest on.
