--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -32,9 +32,22 @@
 	{Name: "serving_walk_core", Unit: "% of a core", Work: func(c *Calc) {
 		c.Value = c.Slope("module_request_us_by_nodes") * c.Nodes * c.Requests / 1e4
 	}},
+	{Name: "serving_home_core", Unit: "% of a core", Work: func(c *Calc) {
+		all := c.Slope("module_request_us_by_nodes") * c.Nodes * c.Requests
+		c.Value = (all - (2*c.Requests*c.Slope("module_decision_us_by_nodes")+roundsPerAim/aim*c.Slope("module_round_us_by_nodes"))*c.Nodes) / 1e4
+	}},
+	{Name: "serving_decision_core", Unit: "% of a core", Work: func(c *Calc) { // two a request, where each comes alone
+		c.Value = 2 * c.Requests * c.Slope("module_decision_us_by_nodes") * c.Nodes / 1e4
+	}},
+	{Name: "serving_round_core", Unit: "% of a core", Work: func(c *Calc) {
+		c.Value = roundsPerAim / aim * c.At("module_round_us_by_nodes", c.Nodes) / 1e4
+	}},
 	{Name: "serving_module_us_gathered", Unit: "us a request", Work: at("module_gathered_us_by_nodes", nodes)},
 	{Name: "serving_module_us_volumes", Unit: "us a request", Work: at("module_request_us_by_volumes", volumes)},
 	{Name: "serving_module_us_flows", Unit: "us a request", Work: at("module_request_us_by_flows", func(Size) float64 { return 1024 })},
+	{Name: "serving_core_flows", Unit: "% of a core", Work: func(c *Calc) { // each volume has met each node: what one more flow costs, times as many
+		c.Value = c.Slope("module_request_us_by_flows") * c.Volumes * c.Requests / 1e4
+	}},
 	{Name: "serving_core", Unit: "% of a core", Work: at("web_core_by_requests", requests)},
 	{Name: "serving_core_rest", Unit: "% of a core", Work: at("web_rest_core_by_nodes", nodes)},
 	{Name: "serving_list_us", Unit: "us a list", Work: at("module_list_us_by_nodes", nodes)},
--- a/internal/capacity/measure_module_test.go
+++ b/internal/capacity/measure_module_test.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// TestMeasureWalks measures the walks over all nodes that a decision makes where nothing waits: a decision between rounds, and one with a round.
+func TestMeasureWalks(t *testing.T) {
+	s := begin(t)
+	for _, nodes := range []int{16, 200, 900, 1800} {
+		m := newModule(nodes)
+		m.requests(t, 4*nodes, 1, func() (int, int) { v := m.count % nodes; return v, v }) // all nodes are known
+		decision := func(int) { m.now += 1000; m.g.Decide(m.now) }
+		each(2, decision)
+		s.add(capacity.Measured, "module_decision_us_by_nodes", "us", "nodes", float64(nodes), each(10_000, decision))
+		s.add(capacity.Measured, "module_round_us_by_nodes", "us", "nodes", float64(nodes), each(2000, func(int) { m.now += 40 * decide.Millisecond; m.g.Decide(m.now) }))
+	}
+	s.keep()
+}
+
 // TestMeasureWalk runs requests at 1,800 nodes for a processor profile: go test -run MeasureWalk -cpuprofile FILE, then go tool pprof -list.
 func TestMeasureWalk(t *testing.T) {
 	measured(t)
