--- a/internal/fleet/accord/flaws.go
+++ b/internal/fleet/accord/flaws.go
@@ -1,7 +1,7 @@
 package accord
 
 // Flaws are defects that tests put in on purpose, to prove that what looks for defects finds them. Nothing else sets them.
-type Flaws uint16
+type Flaws uint32
 
 const (
 	FromReceipt Flaws = 1 << iota // a lease counts from when its grant came, not from when it was asked for
@@ -14,6 +14,8 @@
 	NoEcho                        // an ask from before a term counts as said in it
 	NoJoin                        // a gateway that the log does not know gets a lease
 	NoLease                       // leases never run out at gateways
+	DropsHeld                     // versions are forgotten that a gateway may act on
+	KeepsAll                      // none is ever forgotten
 )
 
 // Has tells whether one is among them.
--- a/internal/fleet/accord/warden.go
+++ b/internal/fleet/accord/warden.go
@@ -50,8 +50,11 @@
 	peer    string
 }
 
-// granted is a grant that a holder may have taken after it last said what it holds.
-type granted struct{ seq, inForce uint64 }
+// granted is a grant that a holder may have taken after it last said what it holds; until then it may act on it, or on the floor of it.
+type granted struct {
+	seq, inForce, announced uint64
+	until                   Time
+}
 
 // Warden is the leading keeper's knowledge of the gateways. It is made anew with each term.
 type Warden struct {
@@ -66,13 +69,14 @@
 	set     uint64          // who is present, and since when nobody else is, as far as is known in this term
 	setAt   Time
 	peered  bool // some gateway is reached by others, so that it counts who is present
+	retain  retention
 	flaws   Flaws
 }
 
 // Lead makes a warden for a term. Whoever the log knows may have got a lease a moment ago.
 func Lead(now Time, term uint64, l *Ledger, flaws Flaws) *Warden {
 	w := &Warden{ledger: l, term: term, holders: map[string]*holder{}, joining: map[string]bool{}, parting: map[string]Time{}, leaving: map[string]Time{}, flaws: flaws,
-		set: l.Sets, setAt: now}
+		set: l.Sets, setAt: now, retain: retention{bases: Bases, batch: batch}}
 	for _, name := range names(l.Holders) {
 		h := &holder{name: name, lease: now + l.Terms.longer(l.Terms.Lease), unknown: now + l.Terms.longer(l.longest()), heard: now,
 			state: "unheard"}
@@ -114,14 +118,17 @@
 	} else if n != w.ledger.InForce && !slices.Contains(a.Holds, n) && a.Trouble == "" && now > h.since+t.longer(t.Lease) {
 		return g // it is heard and does not hear: what it holds has to run out
 	}
-	h.granted = slices.DeleteFunc(h.granted, func(o granted) bool { return o.inForce == g.InForce })
-	h.granted = append(h.granted, granted{a.Seq, g.InForce})
+	span := t.longer(w.floorOf([]uint64{g.InForce, g.Announced}))
+	h.granted = slices.DeleteFunc(h.granted, func(o granted) bool {
+		return o.inForce == g.InForce && o.announced == g.Announced || now > o.until
+	})
+	h.granted = append(h.granted, granted{a.Seq, g.InForce, g.Announced, now + max(t.longer(t.Lease), span)})
 	h.heard, h.state, h.trouble, h.peer = now, a.State, a.Trouble, a.Peer
 	h.lease = max(h.lease, now+t.longer(t.Lease))
 	if w.flaws.Has(NoDrift) {
 		h.lease = now + t.Lease
 	}
-	h.floor = max(h.floor, now+t.longer(w.floorOf(h.holds)), now+t.longer(w.floorOf([]uint64{g.InForce, g.Announced})))
+	h.floor = max(h.floor, now+t.longer(w.floorOf(h.holds)), now+span)
 	g.Lease = t.Lease
 	w.present(now, a, g)
 	for _, n := range []uint64{g.InForce, g.Announced} {
@@ -156,11 +163,7 @@
 // floorOf is the longest floor of versions.
 func (w *Warden) floorOf(numbers []uint64) (most Time) {
 	for _, n := range numbers {
-		if v := w.ledger.Version(n); v != nil {
-			if r, err := v.Open(); err == nil {
-				most = max(most, r.Floor.For)
-			}
-		}
+		most = max(most, w.ledger.span(n))
 	}
 	return most
 }
@@ -180,7 +183,11 @@
 	var gone []string
 	for _, name := range names(w.ledger.Holders) {
 		h := w.holders[name]
-		if at, asked := w.parting[name]; h != nil && now > max(h.lease, h.floor, h.unknown) && (!asked || now > at+again) {
+		if h == nil { // it has joined, and was told nothing yet; one that never comes back parts like any other
+			w.holders[name] = &holder{name: name, heard: now, state: "joined"}
+			continue
+		}
+		if at, asked := w.parting[name]; now > max(h.lease, h.floor, h.unknown, h.heard+w.ledger.Terms.longer(again)) && (!asked || now > at+again) {
 			gone = append(gone, name)
 			w.parting[name] = now
 		}
@@ -188,6 +195,9 @@
 	if len(gone) > 0 {
 		return &Command{Part: gone}
 	}
+	if list := w.forgettable(now); list != nil {
+		return &Command{Forget: list}
+	}
 	if !w.peered {
 		return nil
 	}
@@ -255,10 +265,13 @@
 		return false
 	}
 	fits := func(n uint64) bool {
-		v := w.ledger.Version(n)
-		if v == nil {
+		if n == 0 {
 			return true
 		}
+		v := w.ledger.Version(n)
+		if v == nil { // it is forgotten, or never was: nothing is known of its floor
+			return false
+		}
 		floor, err := v.Floor()
 		return err == nil && len(rules.Beyond(floor, next)) == 0
 	}
--- a/internal/fleet/keep/client.go
+++ b/internal/fleet/keep/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -92,11 +91,6 @@
 	return s, c.ask(http.MethodGet, "/status", nil, &s)
 }
 
-// Versions asks for the versions from a number on.
-func (c *Client) Versions(from uint64) (list []*rules.Version, err error) {
-	return list, c.ask(http.MethodGet, "/versions?from="+strconv.FormatUint(from, 10), nil, &list)
-}
-
 // Propose proposes a change. It is asked for until it is known whether it is in the log.
 func (c *Client) Propose(p *accord.Proposal) (v *rules.Version, err error) {
 	v = &rules.Version{}
--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -52,6 +52,7 @@
 	Tick    time.Duration
 	Compact uint64 // entries after which the log is compacted
 	Log     *slog.Logger
+	form    int // newest of entries that it reads and writes; 0: the newest there is
 }
 
 // Keeper is a running one.
@@ -77,6 +78,7 @@
 	calls     chan func()
 	stand     atomic.Pointer[standing] // what those know who wait for news
 	peers     map[uint64]*peer
+	forms     map[uint64]int    // of entries that other keepers read, as they said; 0: not known
 	addrs     map[uint64]string // of all keepers that ever were, by number
 	voting    *votersCall       // a change of voters that is under way; nil: none that was asked for here
 	ctx       context.Context
@@ -123,7 +125,10 @@
 		opt.Tick = 50 * time.Millisecond
 	}
 	if opt.Compact == 0 {
-		opt.Compact = 2000
+		opt.Compact = 1000
+	}
+	if opt.form == 0 {
+		opt.form = accord.Form
 	}
 	founders := voters
 	if opt.Joins {
@@ -134,7 +139,10 @@
 		return nil, err
 	}
 	k := &Keeper{opt: opt, log: opt.Log.With("keeper", opt.Number), store: s, waiting: map[string]chan result{}, calls: make(chan func(), 1024),
-		peers: map[uint64]*peer{}, start: time.Now(), ended: make(chan struct{}), gather: time.NewTimer(0)}
+		peers: map[uint64]*peer{}, forms: map[uint64]int{}, start: time.Now(), ended: make(chan struct{}), gather: time.NewTimer(0)}
+	s.history.bad = func(what string, why error) {
+		k.log.Warn("the history cannot be read here, the rest is", "what", what, "why", why)
+	}
 	k.stand.Store(&standing{changed: make(chan struct{})})
 	snap, err := s.memory.Snapshot()
 	if err == nil {
@@ -153,7 +161,7 @@
 		return nil, err
 	}
 	k.node, err = raft.NewRawNode(&raft.Config{ID: opt.Number, ElectionTick: 10, HeartbeatTick: 2, Storage: s.memory, Applied: k.applied,
-		MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
+		MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxInflightBytes: 8 << 20, MaxUncommittedEntriesSize: 64 << 20, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
 		DisableProposalForwarding: true, Logger: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}})
 	if err != nil {
 		k.listener.Close()
@@ -164,7 +172,7 @@
 	k.addrs = s.addrs
 	maps.Copy(k.addrs, opt.Peers) // what it is told now counts before what it was told once
 	k.meet()
-	k.http = &http.Server{Handler: k.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	k.http = &http.Server{Handler: k.formed(k.handler()), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	go k.http.Serve(k.listener)
 	go k.run(k.ctx)
 	return k, nil
@@ -271,7 +279,7 @@
 			k.do(ctx, func() { k.err = err })
 		}
 	}()
-	k.log.Info("keeper takes part", "start", k.store.starts, "term", k.node.BasicStatus().HardState.GetTerm(), "versions", len(k.ledger.Versions))
+	k.log.Info("keeper takes part", "start", k.store.starts, "term", k.node.BasicStatus().HardState.GetTerm(), "announced", k.ledger.Announced, "versions", len(k.ledger.Versions))
 	return true
 }
 
@@ -315,6 +323,11 @@
 			if err != nil {
 				return err
 			}
+			for _, v := range k.ledger.Versions { // those between it and the new one are not known here
+				if l.Version(v.Number) == nil {
+					k.store.history.pending = append(k.store.history.pending, forgotten{v, k.ledger.Coded(v.Number)})
+				}
+			}
 			k.ledger, k.applied, k.conf = l, rd.Snapshot.GetMetadata().GetIndex(), rd.Snapshot.GetMetadata().GetConfState()
 		}
 		for _, e := range rd.CommittedEntries {
@@ -328,10 +341,18 @@
 			}
 		}
 		k.node.Advance(rd)
-		if first, err := k.store.memory.FirstIndex(); err == nil && k.applied > first+k.opt.Compact {
-			if err := k.store.compact(k.applied, k.conf, k.ledger.Save(), k.opt.Compact/10); err != nil {
-				return fmt.Errorf("the log cannot be compacted: %w", err)
+		if k.store.full(k.applied, k.opt.Compact) {
+			if err := k.compact(); err != nil {
+				return err
 			}
 		}
 	}
 }
+
+// compact keeps a snapshot of the ledger in place of the log so far, but for the last tenth.
+func (k *Keeper) compact() error {
+	if err := k.store.compact(k.applied, k.conf, k.ledger.Save(), k.opt.Compact/10); err != nil {
+		return fmt.Errorf("the log cannot be compacted: %w", err)
+	}
+	return nil
+}
--- a/internal/fleet/keep/peer.go
+++ b/internal/fleet/keep/peer.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -22,6 +23,7 @@
 	url    string
 	queue  chan *raftpb.Message
 	client *http.Client
+	form   atomic.Int64 // that it said last
 }
 
 func newPeer(k *Keeper, id uint64, addr string) *peer {
@@ -82,6 +84,7 @@
 	}
 	defer r.Body.Close()
 	io.Copy(io.Discard, r.Body)
+	p.heard(ctx, r)
 	if r.StatusCode != http.StatusNoContent {
 		return errors.New(r.Status)
 	}
@@ -92,11 +95,12 @@
 type greeting struct {
 	From   uint64 `json:"from"`
 	Starts uint64 `json:"starts"`
+	Form   int    `json:"form,omitempty"` // of entries that it reads; 0: the first
 }
 
 // hello tells the other keeper of this start. ErrOlder: it knows a later one.
 func (p *peer) hello(ctx context.Context, from, starts uint64) error {
-	b, err := json.Marshal(greeting{from, starts})
+	b, err := json.Marshal(greeting{from, starts, p.keeper.opt.form})
 	if err != nil {
 		return err
 	}
@@ -110,6 +114,7 @@
 	}
 	defer r.Body.Close()
 	io.Copy(io.Discard, r.Body)
+	p.heard(ctx, r)
 	switch r.StatusCode {
 	case http.StatusNoContent:
 		return nil
--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -65,6 +65,7 @@
 				k.log.Warn("a keeper is refused: a later start of it is known", "from", g.From, "start", g.Starts, "known", k.store.known[g.From])
 				answer <- http.StatusConflict
 			default:
+				k.reads(g.From, g.Form)
 				answer <- http.StatusNoContent
 			}
 		}) {
@@ -96,32 +97,14 @@
 			return s
 		})
 	})
-	mux.HandleFunc("GET /versions", func(w http.ResponseWriter, r *http.Request) {
-		from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-		k.answer(w, r, func(*accord.Warden) any {
-			list := []*rules.Version{}
-			for _, v := range k.ledger.Versions {
-				if v.Number >= from {
-					list = append(list, v)
-				}
-			}
-			return list
-		})
-	})
+	mux.HandleFunc("GET /versions", k.versions)
 	mux.HandleFunc("POST /propose", func(w http.ResponseWriter, r *http.Request) {
 		p := &accord.Proposal{}
 		if !read(w, r, p) {
 			return
 		}
 		to := make(chan result, 1)
-		k.do(r.Context(), func() {
-			if k.warden == nil || k.ledger.Terms.Lease == 0 {
-				to <- result{err: ErrNotLeading}
-				return
-			}
-			k.waiting[p.ID] = to
-			k.put(&accord.Command{Propose: p})
-		})
+		k.do(r.Context(), func() { k.propose(p, to) })
 		ctx, cancel := context.WithTimeout(r.Context(), patience)
 		defer cancel()
 		select {
--- a/internal/fleet/keep/store.go
+++ b/internal/fleet/keep/store.go
@@ -24,11 +24,13 @@
 // store is what lasts of a keeper: its number, how often it has started, Raft's state, log and snapshot, and how often it
 // knows each other keeper to have started. Each change is synced before anything is said that builds on it.
 type store struct {
-	db     *bbolt.DB
-	memory *raft.MemoryStorage // the log as Raft reads it; it follows the disk
-	starts uint64
-	known  map[uint64]uint64 // starts of others
-	addrs  map[uint64]string // of keepers, as changes of voters told
+	db      *bbolt.DB
+	memory  *raft.MemoryStorage // the log as Raft reads it; it follows the disk
+	bytes   int                 // of the entries in it
+	starts  uint64
+	known   map[uint64]uint64 // starts of others
+	addrs   map[uint64]string // of keepers, as changes of voters told
+	history history
 }
 
 var (
@@ -91,7 +93,7 @@
 
 func (s *store) load(file string, self uint64, voters []uint64) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{bucketSelf, bucketRaft, bucketLog, bucketKnown} {
+		for _, name := range [][]byte{bucketSelf, bucketRaft, bucketLog, bucketKnown, bucketTrail, bucketContents} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 				return err
 			}
@@ -155,6 +157,7 @@
 		if err := s.memory.Append(entries); err != nil {
 			return err
 		}
+		s.bytes = size(entries)
 		return tx.Bucket(bucketKnown).ForEach(func(k, v []byte) error {
 			s.known[binary.BigEndian.Uint64(k)] = binary.BigEndian.Uint64(v)
 			return nil
@@ -162,12 +165,26 @@
 	})
 }
 
+// update writes in one synced transaction, with what there is of history.
+func (s *store) update(f func(tx *bbolt.Tx) error) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		if err := s.history.flush(tx); err != nil {
+			return err
+		}
+		return f(tx)
+	})
+	if err == nil {
+		s.history.pending = nil
+	}
+	return err
+}
+
 // save makes what Raft has to keep last, in one synced write.
 func (s *store) save(rd *raft.Ready) error {
 	if raft.IsEmptyHardState(rd.HardState) && len(rd.Entries) == 0 && raft.IsEmptySnap(rd.Snapshot) {
 		return nil
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		if !raft.IsEmptySnap(rd.Snapshot) {
 			if err := putSnapshot(tx, rd.Snapshot); err != nil {
 				return err
@@ -213,6 +230,7 @@
 			return err
 		}
 	}
+	s.bytes += size(rd.Entries) // more than there is where some take the place of others, until the next compaction
 	return s.memory.Append(rd.Entries)
 }
 
@@ -233,22 +251,6 @@
 	return nil
 }
 
-// compact keeps a snapshot of what the log came to at an index in place of the entries up to it, but for the last few, so that a
-// keeper that lags a little needs no snapshot.
-func (s *store) compact(index uint64, conf *raftpb.ConfState, data []byte, keep uint64) error {
-	snap, err := s.memory.CreateSnapshot(index, conf, data)
-	if err != nil {
-		return err
-	}
-	if err := s.db.Update(func(tx *bbolt.Tx) error { return putSnapshot(tx, snap) }); err != nil {
-		return err
-	}
-	if first, err := s.memory.FirstIndex(); err == nil && index > first+keep {
-		return s.memory.Compact(index - keep)
-	}
-	return nil
-}
-
 // address keeps the keepers' addresses.
 func (s *store) address(addrs map[uint64]string) error {
 	b, err := json.Marshal(addrs)
--- a/internal/fleet/keep/voters.go
+++ b/internal/fleet/keep/voters.go
@@ -94,8 +94,8 @@
 		return fmt.Errorf("entry %d of the log cannot be read: %w", e.GetIndex(), err)
 	}
 	k.conf = k.node.ApplyConfChange(c)
-	if err := k.store.compact(k.applied, k.conf, k.ledger.Save(), k.opt.Compact/10); err != nil { // one that joins takes no snapshot without itself in it
-		return fmt.Errorf("the log cannot be compacted: %w", err)
+	if err := k.compact(); err != nil { // one that joins takes no snapshot without itself in it
+		return err
 	}
 	if len(c.GetContext()) > 0 {
 		v := &Voters{}
