--- a/internal/fleet/accord/flaws.go
+++ b/internal/fleet/accord/flaws.go
@@ -14,6 +14,8 @@
 	NoEcho                        // an ask from before a term counts as said in it
 	NoJoin                        // a gateway that the log does not know gets a lease
 	NoLease                       // leases never run out at gateways
+	DropsHeld                     // versions are forgotten that a gateway may act on
+	KeepsAll                      // none is ever forgotten
 )
 
 // Has tells whether one is among them.
--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -66,6 +66,7 @@
 				k.log.Warn("a keeper is refused: a later start of it is known", "from", g.From, "start", g.Starts, "known", k.store.known[g.From])
 				answer <- http.StatusConflict
 			default:
+				k.reads(g.From, g.Form)
 				answer <- http.StatusNoContent
 			}
 		}) {
@@ -80,7 +81,7 @@
 	mux.HandleFunc("POST /renew", func(w http.ResponseWriter, r *http.Request) {
 		a := &accord.Ask{}
 		if read(w, r, a) {
-			bare(w)
+			terse(w)
 			k.answer(w, r, func(warden *accord.Warden) any { return warden.Renew(k.now(), a) })
 		}
 	})
@@ -99,18 +100,7 @@
 			return s
 		})
 	})
-	mux.HandleFunc("GET /versions", func(w http.ResponseWriter, r *http.Request) {
-		from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-		k.answer(w, r, func(*accord.Warden) any {
-			list := []*rules.Version{}
-			for _, v := range k.ledger.Versions {
-				if v.Number >= from {
-					list = append(list, v)
-				}
-			}
-			return list
-		})
-	})
+	mux.HandleFunc("GET /versions", k.versions)
 	mux.HandleFunc("POST /propose", func(w http.ResponseWriter, r *http.Request) {
 		p := &accord.Proposal{}
 		if !read(w, r, p) {
@@ -121,14 +111,7 @@
 			return
 		}
 		to := make(chan result, 1)
-		k.do(r.Context(), func() {
-			if k.warden == nil || k.ledger.Terms.Lease == 0 {
-				to <- result{err: ErrNotLeading}
-				return
-			}
-			k.waiting[p.ID] = to
-			k.put(&accord.Command{Propose: p})
-		})
+		k.do(r.Context(), func() { k.propose(p, to) })
 		ctx, cancel := context.WithTimeout(r.Context(), patience)
 		defer cancel()
 		select {
@@ -158,7 +141,7 @@
 		n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 		return n
 	}
-	bare(w)
+	terse(w)
 	known := standing{term: number("term"), inForce: number("in_force"), announced: number("announced"), leads: true}
 	hold := time.NewTimer(min(time.Duration(number("hold_ms"))*time.Millisecond, longestHold))
 	defer hold.Stop()
