--- a/internal/capacity/measure_list_test.go
+++ b/internal/capacity/measure_list_test.go
@@ -252,19 +252,9 @@
 // TestMeasureVersion measures the content of versions, with names, zones and ages, by nodes.
 func TestMeasureVersion(t *testing.T) {
 	s := begin(t)
-	heap()
 	for _, nodes := range []int{200, 900, 1800} {
 		size := float64(nodes)
-		of := func(limit float64) *rules.Rules {
-			r := &rules.Rules{Needs: rules.Form, Shards: nodes, Mean: 1, Plans: map[string]rules.Plan{"gold": {Weight: 1, Limit: limit}}, Products: map[string]rules.Product{},
-				Sending: rules.Sending{Most: 1}, Nodes: map[string]rules.Node{}}
-			for i := range nodes {
-				r.Nodes[fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)] = rules.Node{Name: fmt.Sprintf("store-%04d.zone%d.example.net", i, i%7), Zone: fmt.Sprint("zone", i%7), Shard: i,
-					Born: 1_700_000_000_000_000_000 + int64(i)*1_000_003, Weight: 1}
-			}
-			return r
-		}
-		a, b := of(10), of(9)
+		a, b := content(nodes, 10), content(nodes, 9)
 		text := a.Canonical()
 		s.add(capacity.Measured, "version_bytes_by_nodes", "bytes", "nodes", size, float64(len(text)))
 		s.add(capacity.Measured, "version_make_ms_by_nodes", "ms", "nodes", size, each(30, func(int) { a.Digest() })/1e3)
@@ -274,16 +264,41 @@
 			}
 		})/1e3)
 		s.add(capacity.Measured, "version_compare_ms_by_nodes", "ms", "nodes", size, each(30, func(int) { rules.Contradict(a, b) })/1e3)
+	}
+	s.keep()
+}
+
+// TestMeasureVersionMemory measures what a version that was read holds, over fifty of them.
+func TestMeasureVersionMemory(t *testing.T) {
+	s := begin(t)
+	for _, nodes := range []int{200, 900, 1800} {
+		text := content(nodes, 10).Canonical()
+		list := make([]*rules.Rules, 50)
 		before := heap()
-		r, _ := rules.Read(text)
-		s.add(capacity.Measured, "version_kb_by_nodes", "KB", "nodes", size, heap()-before)
-		if r.Mean != 1 || len(a.Nodes) != len(b.Nodes) || len(text) == 0 { // and all of them are held until here
-			t.Fatal("another version")
+		for i := range list {
+			list[i], _ = rules.Read(text)
+		}
+		s.add(capacity.Measured, "version_kb_by_nodes", "KB", "nodes", float64(nodes), (heap()-before)/float64(len(list)))
+		for _, r := range list { // held until here
+			if len(r.Nodes) != nodes || len(text) == 0 {
+				t.Fatal("another version")
+			}
 		}
 	}
 	s.keep()
 }
 
+// content is a version's, with names, zones and ages.
+func content(nodes int, limit float64) *rules.Rules {
+	r := &rules.Rules{Needs: rules.Form, Shards: nodes, Mean: 1, Plans: map[string]rules.Plan{"gold": {Weight: 1, Limit: limit}}, Products: map[string]rules.Product{},
+		Sending: rules.Sending{Most: 1}, Nodes: map[string]rules.Node{}}
+	for i := range nodes {
+		r.Nodes[fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)] = rules.Node{Name: fmt.Sprintf("store-%04d.zone%d.example.net", i, i%7), Zone: fmt.Sprint("zone", i%7), Shard: i,
+			Born: 1_700_000_000_000_000_000 + int64(i)*1_000_003, Weight: 1}
+	}
+	return r
+}
+
 // TestMeasureNodeConnections measures an execution over a new connection and over one that is kept: processor time of gateway and node together.
 func TestMeasureNodeConnections(t *testing.T) {
 	s := begin(t)
