--- a/internal/capacity/take.go
+++ b/internal/capacity/take.go
@@ -11,7 +11,7 @@
 // Taken turns what `irispost fleet bench --json` and `irispost fleet scale --json` wrote into records. Each file is one run, or a list of them. A run
 // of the bench has followers, nodes and changes; one of the scale tests a case and its size. Runs that differ in one of these alone are the sizes
 // of a slope: followers and nodes of the bench, gateways of the scale tests, and the changes of one run's marks. What has fewer than three sizes is
-// told and left out; a run in which something broke is refused.
+// told and left out, counts without a unit are passed over; a run in which something broke is refused.
 func Taken(files map[string][]byte, command, commit string) (records []*Record, left []string, err error) {
 	t := taking{byName: map[string]*Record{}, command: command, commit: commit}
 	var runs []run
@@ -178,20 +178,24 @@
 	command, commit string
 }
 
-var units = []struct{ part, unit string }{{"bytes_s", "bytes a second"}, {"bytes", "bytes"}, {"_core", "cores"}, {"core", "cores"}, {"_mb", "MB"}, {"_ms", "ms"}}
+var units = []struct{ part, unit string }{{"bytes_s", "bytes a second"}, {"bytes", "bytes"}, {"_core", "cores"}, {"_mb", "MB"}, {"_ms", "ms"}}
 
 // point takes in a figure at a size. Runs of one size count by the worst of them.
 func (t *taking) point(name, axis string, size, v float64) error {
+	unit := ""
+	for _, u := range units {
+		if strings.Contains(name, u.part) {
+			unit = u.unit
+			break
+		}
+	}
+	if unit == "" { // a count of the run's own, no cost
+		return nil
+	}
 	name += "_by_" + axis
 	r := t.byName[name]
 	if r == nil {
-		r = &Record{Name: name, Unit: "in all", Over: axis, How: Measured, Command: t.command, Commit: t.commit}
-		for _, u := range units {
-			if strings.Contains(name, u.part) {
-				r.Unit = u.unit
-				break
-			}
-		}
+		r = &Record{Name: name, Unit: unit, Over: axis, How: Measured, Command: t.command, Commit: t.commit}
 		t.byName[name] = r
 	}
 	for i, p := range r.Points {
--- a/internal/capacity/take_test.go
+++ b/internal/capacity/take_test.go
@@ -43,7 +43,7 @@
 }
 
 func benchRun(followers, nodes int, change float64) []byte {
-	return fmt.Appendf(nil, `{"followers":%d,"nodes":%d,"changes":40,"change_bytes":%g,"in_force_ms":{"p50":1,"worst":%d},"keeper_mb":[1,9,4],"text":"no"}`, followers, nodes, change, followers)
+	return fmt.Appendf(nil, `{"followers":%d,"nodes":%d,"changes":40,"change_bytes":%g,"in_force_ms":{"p50":1,"worst":%d},"keeper_mb":[1,9,4],"text":"no","elections":2}`, followers, nodes, change, followers)
 }
 
 func scaleRun(gateways int, broken string) []byte {
@@ -69,6 +69,9 @@
 			t.Errorf("%s: %s", name, got[name])
 		}
 	}
+	if len(list) != 12 { // five of the bench by followers and by nodes, two of the scale tests, and no elections
+		t.Errorf("%d records: %v", len(list), got)
+	}
 	history := []byte(`{"followers":0,"nodes":1800,"changes":900,"start_ms":3,"marks":[{"changes":10,"keeper_mb":[3,4]},{"changes":500,"keeper_mb":[5,6]},{"changes":900,"keeper_mb":[8,7]}]}`)
 	list, left, err = capacity.Taken(map[string][]byte{"h": history}, "c", "1")
 	if err != nil || len(left) != 1 || len(list) != 2 || list[0].Name != "history_keeper_mb_by_changes" || fmt.Sprint(list[0].Points) != "[{10 4} {500 6} {900 8}]" {
