Work the walks' parts out between 16 and 1,800 nodes

A decision between rounds is not a line over the nodes (residual over 0.1), so that its slope was refused and two rows were empty; what it grew by is read at the sizes themselves.

--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -33,11 +33,11 @@
 		c.Value = c.Slope("module_request_us_by_nodes") * c.Nodes * c.Requests / 1e4
 	}},
 	{Name: "serving_home_core", Unit: "% of a core", Work: func(c *Calc) {
-		all := c.Slope("module_request_us_by_nodes") * c.Nodes * c.Requests
-		c.Value = (all - (2*c.Requests*c.Slope("module_decision_us_by_nodes")+roundsPerAim/aim*c.Slope("module_round_us_by_nodes"))*c.Nodes) / 1e4
+		c.Value = (c.Requests*(grown(c, "module_request_us_by_nodes")-2*grown(c, "module_decision_us_by_nodes")) -
+			roundsPerAim/aim*grown(c, "module_round_us_by_nodes")) / 1e4
 	}},
 	{Name: "serving_decision_core", Unit: "% of a core", Work: func(c *Calc) { // two a request, where each comes alone
-		c.Value = 2 * c.Requests * c.Slope("module_decision_us_by_nodes") * c.Nodes / 1e4
+		c.Value = 2 * c.Requests * grown(c, "module_decision_us_by_nodes") / 1e4
 	}},
 	{Name: "serving_round_core", Unit: "% of a core", Work: func(c *Calc) {
 		c.Value = roundsPerAim / aim * c.At("module_round_us_by_nodes", c.Nodes) / 1e4
@@ -84,6 +84,9 @@
 	}},
 }
 
+// grown is what a record has grown by since 16 nodes.
+func grown(c *Calc, record string) float64 { return c.At(record, c.Nodes) - c.At(record, 16) }
+
 // kept is the connections that a gateway keeps to a node: one, as requests of a pair come one at a time nearly always, while its gaps stay
 // under four fifths of what nodes allow.
 func kept(c *Calc) float64 { return 1 - math.Exp(-c.Pair()*idleClose*0.8) }
