--- /dev/null
+++ b/internal/fleet/accord/snapshot_test.go
@@ -0,0 +1,257 @@
+package accord
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"irispost/internal/fleet/rules"
+)
+
+// plan is rules of so many nodes with a limit.
+func plan(nodes int, limit float64) []byte {
+	r := &rules.Rules{Needs: 1, Shards: nodes + 1, Mean: 1, Plans: map[string]rules.Plan{"gold": {Weight: 1, Limit: limit}}, Sending: rules.Sending{Most: 1},
+		Nodes: map[string]rules.Node{}}
+	for i := range nodes {
+		r.Nodes[fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)] = rules.Node{Shard: i, Name: fmt.Sprint("node-", i), Zone: "a", Born: int64(i) * 1e9}
+	}
+	return r.Canonical()
+}
+
+// Whatever is proposed, forgotten, saved and restored, coded or not: each keeper has of each version the bytes that were proposed, or nothing,
+// and nothing only of what was forgotten.
+func TestLedgersAgainstWholeVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledgers := []*Ledger{NewLedger(), NewLedger(), NewLedger()}
+		all, gone := map[uint64][]byte{}, map[uint64]bool{}
+		put := func(c *Command, form int) (taken *rules.Version) {
+			e, err := c.Entry(form, ledgers[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i, l := range ledgers {
+				read, err := ReadEntry(e)
+				if err != nil {
+					t.Fatal(err)
+				}
+				v, err := l.Apply(read)
+				if errors.Is(err, ErrEntry) || i > 0 && (v == nil) != (taken == nil) {
+					t.Fatalf("keeper %d: %v, %v", i, v, err)
+				}
+				taken = v
+			}
+			return taken
+		}
+		for n := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			l := ledgers[0]
+			form := max(l.Form, rapid.SampledFrom([]int{1, 2}).Draw(t, "form"))
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0: // a restart
+				i := rapid.IntRange(0, 2).Draw(t, "keeper")
+				back, err := Restore(ledgers[i].Save())
+				if err != nil {
+					t.Fatal(err)
+				}
+				ledgers[i] = back
+			case 1:
+				put(&Command{Force: l.Announced}, form)
+			case 2:
+				c := &Command{}
+				for _, v := range l.Versions {
+					if v.Number != l.InForce && v.Number != l.Announced && rapid.Bool().Draw(t, "forget") {
+						c.Forget, gone[v.Number] = append(c.Forget, v.Number), true
+					}
+				}
+				if len(c.Forget) > 0 {
+					put(c, 2)
+				}
+			default:
+				content := plan(rapid.IntRange(0, 30).Draw(t, "nodes"), float64(n))
+				parent := l.Announced - min(l.Announced, uint64(rapid.IntRange(0, 1).Draw(t, "late")))
+				if v := put(&Command{Propose: &Proposal{ID: fmt.Sprint(n), Parent: parent, Over: true, Rules: content}}, form); (v != nil) != (parent == l.Announced-1 && v != nil) {
+					t.Fatalf("%v of parent %d", v, parent)
+				} else if v != nil {
+					all[v.Number] = content
+				}
+			}
+		}
+		for i, l := range ledgers {
+			for n, content := range all {
+				if v := l.Version(n); v == nil != gone[n] || v != nil && !bytes.Equal(v.Rules, content) {
+					t.Fatalf("keeper %d has version %d as %v, forgotten %t", i, n, v, gone[n])
+				}
+			}
+		}
+	})
+}
+
+// What is spoilt anywhere is refused in one line.
+func TestSpoiltSnapshots(t *testing.T) {
+	l := NewLedger()
+	for n := range 12 {
+		c := &Command{Propose: &Proposal{ID: fmt.Sprint(n), Parent: uint64(n), Over: true, Rules: plan(20, float64(n+1))}}
+		e, err := c.Entry(2, l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, _ := ReadEntry(e)
+		if _, err := l.Apply(read); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.forget([]uint64{3, 12}); err == nil || len(l.Versions) != 12 {
+		t.Errorf("the announced version is forgotten: %v", err)
+	}
+	l.forget([]uint64{1, 2, 3, 5})
+	good := l.Save()
+	if back, err := Restore(good); err != nil || !bytes.Equal(back.Save(), good) || len(back.Versions) != 8 {
+		t.Fatalf("%v", err)
+	}
+	for i := range good {
+		for _, bad := range [][]byte{good[:i], slices.Concat(good[:i], []byte{good[i] ^ 1<<(i%8)}, good[i+1:])} {
+			if _, err := Restore(bad); err == nil || strings.Contains(err.Error(), "\n") {
+				t.Fatalf("at byte %d of %d: %v", i, len(good), err)
+			}
+		}
+	}
+	old := NewLedger()
+	if _, err := old.Apply(&Command{Propose: &Proposal{ID: "a", Rules: plan(1, 1)}}); err != nil {
+		t.Fatal(err)
+	}
+	text := old.Save()
+	if back, err := Restore(text); err != nil || back.Version(1) == nil || text[0] != '{' {
+		t.Errorf("of the form before: %v", err)
+	}
+	for _, bad := range []string{`{"versions":[null],"announced":1}`, `{"versions":[],"announced":1}`, `{"versions":[{"number":2}],"announced":1}`, `{"in_force":1}`, `{`, ""} {
+		if _, err := Restore([]byte(bad)); err == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
+
+// An entry that is spoilt ends the keeper, and changes nothing.
+func TestSpoiltEntries(t *testing.T) {
+	fresh := func() *Ledger {
+		l := NewLedger()
+		l.Apply(&Command{Propose: &Proposal{ID: "a", Rules: plan(50, 1)}})
+		return l
+	}
+	l := fresh()
+	e, err := (&Command{Propose: &Proposal{ID: "b", Parent: 1, Over: true, Rules: plan(50, 2)}}).Entry(2, l)
+	if err != nil || len(e) > 1000 {
+		t.Fatalf("%d bytes: %v", len(e), err)
+	}
+	if _, err := (&Command{Forget: []uint64{1}}).Entry(1, l); err == nil {
+		t.Error("an entry of form 1 tells what to forget")
+	}
+	whole := plan(50, 2)
+	for i := range e {
+		for _, bad := range [][]byte{e[:i], slices.Concat(e[:i], []byte{e[i] ^ 1<<(i%8)}, e[i+1:])} {
+			c, err := ReadEntry(bad)
+			if err != nil || c.Propose == nil {
+				continue // the keeper ends by it
+			}
+			l := fresh()
+			if v, err := l.Apply(c); err == nil && !bytes.Equal(v.Rules, whole) || err != nil && len(l.Versions) != 1 {
+				t.Fatalf("at byte %d of %d: %v, %v", i, len(e), v, err)
+			}
+		}
+	}
+	other := NewLedger() // whose first version is another
+	other.Apply(&Command{Propose: &Proposal{ID: "a", Rules: plan(50, 3)}})
+	c, _ := ReadEntry(e)
+	if _, err := other.Apply(c); !errors.Is(err, ErrEntry) {
+		t.Errorf("against another base: %v", err)
+	}
+}
+
+// A proposal that is asked for again is told its number as long as its ID is known, and is refused after that, as its parent is not the newest.
+func TestRepeatsOfProposals(t *testing.T) {
+	l := NewLedger()
+	ask := func(n int) (*rules.Version, error) {
+		c := &Command{Propose: &Proposal{ID: fmt.Sprint(n), Parent: uint64(n), Over: true, Rules: plan(0, float64(n+1))}}
+		e, err := c.Entry([]int{2, 1}[min(n%16, 1)], l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, err = ReadEntry(e); err != nil {
+			t.Fatal(err)
+		}
+		return l.Apply(c)
+	}
+	const all = Repeat + 100
+	for n := range all {
+		if _, err := ask(n); err != nil {
+			t.Fatal(err)
+		}
+		l.forget([]uint64{l.Announced - 1})
+	}
+	if len(l.IDs) != Repeat || len(l.Versions) != 1 {
+		t.Errorf("%d IDs and %d versions are kept", len(l.IDs), len(l.Versions))
+	}
+	oldest := slices.Min(slices.Collect(maps.Values(l.IDs)))
+	for n := range all {
+		v, err := ask(n)
+		if known := uint64(n+1) >= oldest; known != (err == nil) || known && v.Number != uint64(n+1) || !known && !errors.Is(err, ErrParent) {
+			t.Fatalf("proposal %d: %v, %v", n, v, err)
+		}
+	}
+	if _, err := ask(0); err == nil || !strings.Contains(err.Error(), "kept for 1024 versions") || l.Announced != all {
+		t.Errorf("%v", err)
+	}
+	for _, p := range []*Proposal{{Rules: make([]byte, MostContent+1)}, {Why: strings.Repeat("w", 3000)}, {ID: strings.Repeat("w", 129)}} {
+		if err := p.Check(); err == nil {
+			t.Error("a proposal that is too large is taken")
+		}
+	}
+}
+
+// A gateway that is on its floor for an hour has its version kept, whoever leads, while a thousand others come and go; then it goes, too.
+func TestFloorOfAnHour(t *testing.T) {
+	l, now, seq := NewLedger(), Time(0), uint64(0)
+	l.Apply(&Command{Found: &testTerms})
+	l.Apply(&Command{Join: []string{"far", "near"}})
+	r, _ := rules.Read(plan(0, 1))
+	r.Floor = rules.Floor{For: 3600 * 1e9, Limits: 1}
+	w := Lead(now, 1, l, 0)
+	step := func(content []byte) {
+		if _, err := l.Apply(&Command{Propose: &Proposal{ID: fmt.Sprint(now), Parent: l.Announced, Over: true, Rules: content}}); err != nil {
+			t.Fatal(err)
+		}
+		for _, who := range []string{"near", "far"} {
+			if seq++; who == "near" || now < 3*lease {
+				w.Renew(now, &Ask{Who: who, Seq: seq, Term: w.term, Taken: seq, Holds: []uint64{l.Announced}})
+			}
+		}
+		w.Forgets(true)
+		for c := w.Decide(now); c != nil; c = w.Decide(now) {
+			l.Apply(c)
+			w.Applied(c)
+		}
+		now += 4 * lease
+	}
+	step(r.Canonical())
+	held := l.Announced
+	most := 0
+	for n := range 1400 {
+		step(plan(0, float64(n+2)))
+		if most = max(most, len(l.Versions)); n == 100 {
+			w = Lead(now, 2, l, 0)
+		}
+		if l.Version(held) == nil && now < 3600*lease {
+			t.Fatalf("forgotten after %d s", now/1e9)
+		}
+	}
+	if l.Version(held) != nil || len(l.Holders) != 1 {
+		t.Errorf("after %d s it is still there, holders %v", now/1e9, l.Holders)
+	}
+	if len(l.Versions) > Bases+batch+2 {
+		t.Errorf("%d versions at the end, %d at most", len(l.Versions), most)
+	}
+}
--- a/internal/fleet/keep/history.go
+++ b/internal/fleet/keep/history.go
@@ -37,6 +37,15 @@
 	pending []forgotten   // not on disk yet; each comes there with what is written next, or again by the log
 	last    rules.Version // number and content of what was put last; without content: not known
 	bad     func(what string, why error)
+	told    map[string]bool // what it was told of
+}
+
+// spoilt tells once of something that cannot be read.
+func (h *history) spoilt(what string, why error) {
+	if !h.told[what] {
+		h.told[what] = true
+		h.bad(what, why)
+	}
 }
 
 // forgotten is a version that the ledger has dropped, with its content coded from that of the version before; nil: not coded yet.
@@ -138,7 +147,7 @@
 		err = json.Unmarshal(text, &list)
 	}
 	if err != nil || slices.Contains(list, nil) {
-		h.bad(fmt.Sprintf("who made versions %d to %d", at*leaf, at*leaf+leaf-1), err)
+		h.spoilt(fmt.Sprintf("who made versions %d to %d", at*leaf, at*leaf+leaf-1), err)
 		return nil
 	}
 	return list
@@ -154,7 +163,7 @@
 		}
 		head, size := binary.Uvarint(v)
 		if size <= 0 {
-			h.bad(fmt.Sprintf("content at place %d", binary.BigEndian.Uint64(k)), errors.New("it has no number"))
+			h.spoilt(fmt.Sprintf("content at place %d", binary.BigEndian.Uint64(k)), errors.New("it has no number"))
 			last = nil
 			continue
 		}
@@ -166,7 +175,7 @@
 		}
 		content, err := delta.Decode(base, v[size:], accord.MostContent)
 		if err != nil {
-			h.bad(fmt.Sprintf("content of version %d at place %d", head>>1, binary.BigEndian.Uint64(k)), err)
+			h.spoilt(fmt.Sprintf("content of version %d at place %d", head>>1, binary.BigEndian.Uint64(k)), err)
 		} else {
 			each(head>>1, content)
 		}
@@ -213,7 +222,7 @@
 		switch {
 		case !is:
 		case rules.Sum(content) != list[i].Digest:
-			h.bad(fmt.Sprintf("content of version %d", n), fmt.Errorf("it has the digest %.12s, and %.12s is said", rules.Sum(content), list[i].Digest))
+			h.spoilt(fmt.Sprintf("content of version %d", n), fmt.Errorf("it has the digest %.12s, and %.12s is said", rules.Sum(content), list[i].Digest))
 		default:
 			list[i].Rules = content
 		}
--- a/internal/fleet/keep/keep_test.go
+++ b/internal/fleet/keep/keep_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -21,15 +22,19 @@
 
 // home is three keepers' folders and addresses.
 type home struct {
-	t     *testing.T
-	dir   string
-	peers map[uint64]string
-	up    map[uint64]*Keeper
-	joins uint64 // the one that did not found the fleet
+	t       *testing.T
+	dir     string
+	peers   map[uint64]string
+	up      map[uint64]*Keeper
+	joins   uint64         // the one that did not found the fleet
+	forms   map[uint64]int // of keepers that know an older form of entries
+	compact uint64         // 20 where it is not set
+	tick    time.Duration
+	quiet   bool
 }
 
 func newHome(t *testing.T) *home {
-	h := &home{t: t, dir: t.TempDir(), peers: map[uint64]string{}, up: map[uint64]*Keeper{}}
+	h := &home{t: t, dir: t.TempDir(), peers: map[uint64]string{}, up: map[uint64]*Keeper{}, compact: 20, tick: 10 * time.Millisecond}
 	for id := uint64(1); id <= 3; id++ {
 		l, err := net.Listen("tcp", loopback.Own()+":0")
 		if err != nil {
@@ -51,9 +56,13 @@
 func (h *home) start(id uint64) error {
 	var k *Keeper
 	var err error
+	to := io.Writer(os.Stderr)
+	if h.quiet {
+		to = io.Discard
+	}
 	for range 200 { // the address of a keeper that has just ended may be taken for a moment
 		k, err = Start(Options{Number: id, Listen: h.peers[id], Peers: maps.Clone(h.peers), Joins: id == h.joins, Dir: h.folder(id), Terms: accord.Terms{Lease: 3e8, Drift: 0.01},
-			Tick: 10 * time.Millisecond, Compact: 20, Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
+			Tick: h.tick, Compact: h.compact, Log: slog.New(slog.NewTextHandler(to, nil)), form: h.forms[id]})
 		if err == nil || !strings.Contains(err.Error(), "in use") {
 			break
 		}
--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -149,7 +150,9 @@
 		k.applied, k.conf = snap.GetMetadata().GetIndex(), snap.GetMetadata().GetConfState()
 		k.ledger = accord.NewLedger()
 		if !raft.IsEmptySnap(snap) {
-			k.ledger, err = accord.Restore(snap.GetData())
+			if k.ledger, err = accord.Restore(snap.GetData()); err != nil {
+				err = fmt.Errorf("%s: snapshot: %w", filepath.Join(opt.Dir, "keeper.db"), err)
+			}
 		}
 	}
 	if err != nil {
--- a/internal/fleet/keep/store.go
+++ b/internal/fleet/keep/store.go
@@ -72,7 +72,7 @@
 		db.Close()
 		return nil, err
 	}
-	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, addrs: map[uint64]string{}}
+	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, addrs: map[uint64]string{}, history: history{told: map[string]bool{}}}
 	if err := s.load(file, self, voters); err != nil {
 		db.Close()
 		return nil, err
