Hold the fetching of contents against answers and disks that are none, and bound its cost

A content is looked for and put ready once, whoever asks meanwhile.

Not well: tests of three keepers failed under load with "connection refused" (TestManyAskForTheWhole and TestFoldersThatAreRefused in two runs at a time, TestKeeperIsReplaced in one of two): a hello that is said again after its answer was lost is taken for an older copy, and the keeper ends.

--- a/internal/fleet/follow/spool.go
+++ b/internal/fleet/follow/spool.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"sync"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -21,6 +22,7 @@
 	log     *slog.Logger
 	to      chan []byte // the last one counts
 	ended   chan struct{}
+	once    sync.Once
 	fails   bool // the last one could not be written
 }
 
@@ -138,7 +140,7 @@
 // close ends it, once all is written.
 func (s *spool) close() {
 	if s != nil {
-		close(s.to)
+		s.once.Do(func() { close(s.to) })
 		<-s.ended
 	}
 }
--- a/internal/fleet/keep/content.go
+++ b/internal/fleet/keep/content.go
@@ -50,29 +50,40 @@
 }
 
 // find is a content by its digest; false: this keeper does not have it, or no more, or not yet.
-func (c *contents) find(ctx context.Context, digest string) (content.Content, bool) {
-	c.lock.Lock()
-	found, there := c.shelf.Content(digest)
-	c.lock.Unlock()
-	if there || digest == "" {
-		return found, there
+func (c *contents) find(digest string) (content.Content, bool) {
+	look := func() (content.Content, bool) {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+		return c.shelf.Content(digest)
 	}
-	to := make(chan *rules.Version, 1)
-	if !c.keeper.do(ctx, func() { to <- c.keeper.ledger.Content(digest) }) {
-		return found, false
+	if found, there := look(); there || digest == "" {
+		return found, there
 	}
-	select {
-	case v := <-to:
-		if v == nil || len(v.Rules) == 0 {
-			return found, false
+	found, err, _ := c.flight.Do("find "+digest, func() (any, error) {
+		if found, there := look(); there {
+			return found, nil
 		}
-		c.lock.Lock()
-		defer c.lock.Unlock()
-		return c.shelf.Add(digest, v.Rules), true
-	case <-ctx.Done():
-	case <-c.keeper.ended:
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		to := make(chan *rules.Version, 1)
+		c.keeper.do(ctx, func() { to <- c.keeper.ledger.Content(digest) })
+		select {
+		case v := <-to:
+			if v == nil || len(v.Rules) == 0 {
+				return nil, ErrNoContent
+			}
+			c.lock.Lock()
+			defer c.lock.Unlock()
+			return c.shelf.Add(digest, v.Rules), nil
+		case <-ctx.Done():
+		case <-c.keeper.ended:
+		}
+		return nil, ErrNoContent
+	})
+	if err != nil {
+		return content.Content{}, false
 	}
-	return found, false
+	return found.(content.Content), true
 }
 
 // coded is a content as a delta, or whole, made once for all who ask.
@@ -85,7 +96,7 @@
 	if b, there := look(); there {
 		return b, nil
 	}
-	made, err, _ := c.flight.Do(p.Base+" "+p.Digest, func() (any, error) {
+	made, err, _ := c.flight.Do("code "+p.Base+" "+p.Digest, func() (any, error) {
 		if b, there := look(); there {
 			return b, nil
 		}
@@ -109,7 +120,7 @@
 // ServeHTTP answers GET /content/{digest}: 200 with Content-Encoding dcz, zstd or none, 404 where the content is not here.
 func (c *contents) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	bare(w)
-	found, there := c.find(r.Context(), r.PathValue("digest"))
+	found, there := c.find(r.PathValue("digest"))
 	if !there {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -122,7 +133,7 @@
 	p := content.Pair{Digest: found.Digest}
 	var base content.Content
 	if sum, err := baseSum(r.Header.Get(headBase)); err == nil && accepts(content.Delta) {
-		if base, there = c.find(r.Context(), strings.Trim(r.Header.Get(headID), `"`)); there {
+		if base, there = c.find(strings.Trim(r.Header.Get(headID), `"`)); there {
 			c.lock.Lock()
 			p = c.shelf.Pair(found.Digest, base.Digest, sum)
 			c.lock.Unlock()
--- /dev/null
+++ b/internal/fleet/keep/content_test.go
@@ -0,0 +1,219 @@
+package keep
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"irispost/internal/fleet/accord"
+	"irispost/internal/fleet/content"
+	"irispost/internal/fleet/delta"
+	"irispost/internal/fleet/rules"
+)
+
+// wide is a version of so many nodes; the n-th differs.
+func wide(nodes, n int) []byte {
+	r, _ := rules.Read(some(1))
+	r.Shards = nodes
+	for i := range nodes {
+		r.Nodes[fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)] = rules.Node{Shard: i, Zone: "a", Born: int64(i)*7919 + int64(i/(n+1))}
+	}
+	return r.Canonical()
+}
+
+// propose has a version announced; over whatever is.
+func propose(t *testing.T, c *Client, n uint64, b []byte) *rules.Version {
+	t.Helper()
+	v, err := c.Propose(&accord.Proposal{ID: fmt.Sprint(n), Parent: n - 1, Over: true, Rules: b})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// get fetches until a keeper has a content: it may lag.
+func get(t *testing.T, addr string, h *content.Holding, digest string) (r content.Request, coding string, coded []byte) {
+	t.Helper()
+	c := &Client{}
+	for deadline := time.Now().Add(time.Minute); ; time.Sleep(5 * time.Millisecond) {
+		r = h.Fetch(digest, 1).Next()
+		coding, coded, err := c.Content(context.Background(), addr, r)
+		if err == nil {
+			return r, coding, coded
+		}
+		if !errors.Is(err, ErrNoContent) || time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Any keeper hands out any version's content, one that was taken back too: as a delta from a base that it has, whole where the base is not
+// known, of another fleet, or is another than its name says. What it does not have it says so.
+func TestContentOfAnyKeeper(t *testing.T) {
+	h := newHome(t)
+	h.must(1, 2, 3)
+	c := h.client()
+	one, two, three := wide(300, 1), wide(300, 2), wide(300, 3)
+	first := propose(t, c, 1, one)
+	propose(t, c, 2, two) // over the first
+	last := propose(t, c, 3, three)
+	for id, addr := range h.peers {
+		for name, o := range map[string]struct {
+			base []byte
+			want string
+		}{"the one before": {two, content.Delta}, "one taken back": {one, content.Delta}, "of another fleet": {wide(300, 9), content.Whole}, "none": {nil, content.Whole}} {
+			hold := content.Hold(o.base, 0)
+			r, coding, coded := get(t, addr, hold, last.Digest)
+			f := hold.Fetch(last.Digest, 1)
+			if err := f.Answered(r, coding, coded); err != nil || coding != o.want || !bytes.Equal(hold.Content(last.Digest), three) {
+				t.Errorf("keeper %d, base %s: %q of %d bytes, %v", id, name, coding, len(coded), err)
+			}
+		}
+		ask := func(digest string, head map[string]string) (int, string, []byte) {
+			req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/content/"+digest, nil)
+			for name, value := range head {
+				req.Header.Set(name, value)
+			}
+			a, err := (&http.Client{Transport: &http.Transport{DisableCompression: true}}).Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Body.Close()
+			b, _ := io.ReadAll(a.Body)
+			return a.StatusCode, a.Header.Get("Content-Encoding"), b
+		}
+		if code, coding, b := ask(first.Digest, nil); code != 200 || coding != "" || !bytes.Equal(b, one) {
+			t.Errorf("for who takes no coding: %d, %q, %d bytes", code, coding, len(b))
+		}
+		for _, sum := range []string{"", "x", ":eA==:", ":" + strings.Repeat("A", 43) + "=:"} { // the base's name, and not its sum
+			if code, coding, _ := ask(last.Digest, map[string]string{"Accept-Encoding": "dcz, zstd", headBase: sum, headID: `"` + first.Digest + `"`}); code != 200 || coding != content.Whole {
+				t.Errorf("base %q: %d, %q", sum, code, coding)
+			}
+		}
+		for _, digest := range []string{strings.Repeat("0", 64), "x", last.Digest[:63]} {
+			if code, _, b := ask(digest, nil); code != http.StatusNotFound || len(b) > 0 {
+				t.Errorf("%q: %d, %d bytes", digest, code, len(b))
+			}
+		}
+	}
+}
+
+// A base that a keeper knew and knows no more when it is asked costs the whole, and nothing else.
+func TestBaseForgottenMeanwhile(t *testing.T) {
+	h := newHome(t)
+	h.must(1, 2, 3)
+	one, two := wide(300, 1), wide(300, 2)
+	propose(t, h.client(), 1, one)
+	last := propose(t, h.client(), 2, two)
+	hold := content.Hold(one, 0)
+	get(t, h.peers[1], hold, last.Digest)
+	k := h.up[1]
+	done := make(chan struct{})
+	k.do(context.Background(), func() { // as a compaction may
+		k.ledger.Version(1).Digest = "forgotten"
+		close(done)
+	})
+	<-done
+	contents := newContents(k) // nothing ready
+	k.http.Handler.(*http.ServeMux).Handle("GET /again/{digest}", contents)
+	req, _ := http.NewRequest(http.MethodGet, "http://"+h.peers[1]+"/again/"+last.Digest, nil)
+	req.Header.Set("Accept-Encoding", "dcz, zstd")
+	req.Header.Set(headID, `"`+rules.Sum(one)+`"`)
+	a, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	coded, _ := io.ReadAll(a.Body)
+	b, err := delta.Decode(nil, coded, rules.Most)
+	if a.Header.Get("Content-Encoding") != content.Whole || err != nil || !bytes.Equal(b, two) {
+		t.Errorf("%q, %v", a.Header.Get("Content-Encoding"), err)
+	}
+}
+
+// 780 that ask for the whole at once are served by one coding, also where others have taken all places and do not read; leases are given
+// meanwhile.
+func TestManyAskForTheWhole(t *testing.T) {
+	h := newHome(t)
+	h.must(1, 2, 3)
+	v := propose(t, h.client(), 1, wide(1800, 1))
+	k := h.up[1]
+	get(t, h.peers[1], content.Hold(nil, 0), v.Digest)
+	contents := newContents(k) // its own, so that what it has coded is counted
+	contents.shelf.Add("large", make([]byte, 12<<20))
+	mux := http.NewServeMux()
+	mux.Handle("GET /content/{digest}", contents)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: mux}
+	go s.Serve(l)
+	defer s.Close()
+	for range writtenAtOnce {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET /content/large HTTP/1.1\r\nHost: k\r\n\r\n")
+	}
+	for deadline := time.Now().Add(time.Minute); len(contents.places) < writtenAtOnce; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the places are not taken")
+		}
+	}
+	var done sync.WaitGroup
+	errs := make(chan error, 780)
+	for range 780 {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			h := content.Hold(nil, 0)
+			f := h.Fetch(v.Digest, 1)
+			r := f.Next()
+			coding, coded, err := (&Client{}).Content(context.Background(), l.Addr().String(), r)
+			if err == nil {
+				err = f.Answered(r, coding, coded)
+			}
+			if err != nil {
+				errs <- err
+			}
+		}()
+	}
+	if _, err := h.client().Status(); err != nil { // it confirms that it leads, as for a lease
+		t.Error(err)
+	}
+	done.Wait()
+	close(errs)
+	for err := range errs {
+		t.Fatal(err)
+	}
+	if contents.made != 1 {
+		t.Errorf("coded %d times", contents.made)
+	}
+}
+
+// A version over the stated size is refused in one line, and the fleet goes on.
+func TestVersionOverItsSize(t *testing.T) {
+	h := newHome(t)
+	h.must(1, 2, 3)
+	r, _ := rules.Read(some(1))
+	for i := range 140 {
+		r.Nodes[fmt.Sprint(i)] = rules.Node{Name: strings.Repeat("x", 1<<17), Standing: 1}
+	}
+	_, err := h.client().Propose(&accord.Proposal{ID: "a", Rules: r.Canonical()})
+	var refused *RefusedError
+	if !errors.As(err, &refused) || !strings.Contains(refused.Text, "a version has 16777216 at most") || strings.Contains(refused.Text, "\n") {
+		t.Errorf("%v", err)
+	}
+	propose(t, h.client(), 1, some(1))
+}
--- a/internal/serve/follow_test.go
+++ b/internal/serve/follow_test.go
@@ -41,7 +41,8 @@
 	}
 	k := keeper()
 	defer func() { k.Close() }()
-	conf := strings.Replace(testkit.Conf, `nodes    = "-"`, "", 1) + fmt.Sprintf("follow {\n  keepers = [%q]\n  pause   = \"50ms\"\n}\n", addr)
+	contents := filepath.Join(t.TempDir(), "contents")
+	conf := strings.Replace(testkit.Conf, `nodes    = "-"`, "", 1) + fmt.Sprintf("follow {\n  keepers = [%q]\n  pause   = \"50ms\"\n  dir     = %q\n}\n", addr, contents)
 	c, err := config.Parse("test.hcl", fmt.Appendf(nil, conf, "g", 2))
 	if err != nil {
 		t.Fatal(err)
@@ -103,5 +104,9 @@
 	}
 	k = keeper()
 	stands("acting on 2.")
+	until(func() bool { // its last content is on disk
+		list, _ := filepath.Glob(filepath.Join(contents, "*"))
+		return len(list) == 1 && filepath.Base(list[0]) == r.Digest()+".rules"
+	})
 	testkit.Again(t, "it serves again", func() error { return sftp.Mkdir("/meals/year") })
 }
