Take a keeper's greeting again where it did not hear the answer

Cause: under load an answer to a greeting came after the greeter's patience (six ticks); greeting again with the same count of starts, the keeper was taken for an older copy and ended. Seen as "connection refused" in TestKeeperIsReplaced, TestFoldersThatAreRefused and TestManyAskForTheWhole.

A start has a mark beside its count, which the other notes with it: the same count is taken again from the same start, and refused from any other. Greetings without a mark (the form before) are taken as before.

--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -234,7 +234,7 @@
 		go func() {
 			defer k.done.Done()
 			for ctx.Err() == nil {
-				switch err := p.hello(ctx, k.opt.Number, k.store.starts); {
+				switch err := p.hello(ctx, greeting{k.opt.Number, k.store.starts, k.store.run}); {
 				case err == nil:
 					news <- id
 					return
--- a/internal/fleet/keep/peer.go
+++ b/internal/fleet/keep/peer.go
@@ -92,11 +92,12 @@
 type greeting struct {
 	From   uint64 `json:"from"`
 	Starts uint64 `json:"starts"`
+	Run    uint64 `json:"run,omitempty"` // this start's mark
 }
 
 // hello tells the other keeper of this start. ErrOlder: it knows a later one.
-func (p *peer) hello(ctx context.Context, from, starts uint64) error {
-	b, err := json.Marshal(greeting{from, starts})
+func (p *peer) hello(ctx context.Context, g greeting) error {
+	b, err := json.Marshal(g)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/keep/store.go
+++ b/internal/fleet/keep/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -28,6 +29,8 @@
 	memory *raft.MemoryStorage // the log as Raft reads it; it follows the disk
 	starts uint64
 	known  map[uint64]uint64 // starts of others
+	runs   map[uint64]uint64 // the mark of each of them; 0: of the form before
+	run    uint64            // this start's own: an older copy that has come to the same count has another
 	addrs  map[uint64]string // of keepers, as changes of voters told
 }
 
@@ -70,7 +73,7 @@
 		db.Close()
 		return nil, err
 	}
-	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, addrs: map[uint64]string{}}
+	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, runs: map[uint64]uint64{}, run: rand.Uint64(), addrs: map[uint64]string{}}
 	if err := s.load(file, self, voters); err != nil {
 		db.Close()
 		return nil, err
@@ -156,7 +159,10 @@
 			return err
 		}
 		return tx.Bucket(bucketKnown).ForEach(func(k, v []byte) error {
-			s.known[binary.BigEndian.Uint64(k)] = binary.BigEndian.Uint64(v)
+			from := binary.BigEndian.Uint64(k)
+			if s.known[from] = binary.BigEndian.Uint64(v); len(v) == 16 {
+				s.runs[from] = binary.BigEndian.Uint64(v[8:])
+			}
 			return nil
 		})
 	})
@@ -258,14 +264,20 @@
 	return s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketSelf).Put([]byte("addresses"), b) })
 }
 
-// hello notes a start of another keeper; false tells that a later one is known already.
-func (s *store) hello(from, starts uint64) (bool, error) {
+// hello notes a start of another keeper, by its count and mark; false tells that a later one is known already, or another with the same count.
+// One that says it again has not heard the answer.
+func (s *store) hello(from, starts, run uint64) (bool, error) {
+	if starts == s.known[from] && run == s.runs[from] && run != 0 {
+		return true, nil
+	}
 	if starts <= s.known[from] {
 		return false, nil
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketKnown).Put(number(from), number(starts)) })
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		return tx.Bucket(bucketKnown).Put(number(from), append(number(starts), number(run)...))
+	})
 	if err == nil {
-		s.known[from] = starts
+		s.known[from], s.runs[from] = starts, run
 	}
 	return err == nil, err
 }
