Tell the loop what has changed in the list of nodes, not the list anew

Cause: each version, also one that changes no node, had the loop make the list of all nodes anew and tell the module of each.

The list is made before the loop takes its turn, and the loop is told the nodes that are new or differ. Where a node is left out or gone the list is told whole, as the connections to it are closed by that.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -52,8 +52,10 @@
 	opt    Options
 	lock   sync.Mutex
 	f      *accord.Follower
-	told   string // what the loop was told last
-	until  int64  // and until when it counts
+	told   string         // what the loop was told last
+	nodes  []listing.Node // and the list; nil: none
+	made   atomic.Pointer[listed]
+	until  int64 // and until when it counts
 	first  chan struct{}
 	record *os.File
 	stir   chan struct{} // news has come
@@ -150,9 +152,11 @@
 			f.lock.Lock()
 			f.f.Heard(f.opt.Now(), g)
 			f.calm.Store(0)
+			effect := f.f.At(f.opt.Now())
 			lines, members := f.f.Log(), f.f.Members()
 			newest, content := f.f.Newest()
 			f.lock.Unlock()
+			f.prepare(effect)
 			stirred(f.heard)
 			if members != nil && f.opt.Members != nil {
 				f.opt.Members(members)
@@ -316,15 +320,17 @@
 		}
 		fmt.Fprintf(f.record, "%d %v %v\n", t.Nano()-since, floor, holds)
 	}
-	acts := &gateway.Acts{List: listing.List{Version: name}}
+	acts, nodes := &gateway.Acts{}, []listing.Node(nil)
 	if effect != nil {
-		acts.List, acts.Terms = effect.List(name), effect.Terms(f.opt.Own)
+		nodes = f.list(effect)
+		acts.List, acts.Terms = change(f.nodes, nodes), effect.Terms(f.opt.Own)
 		select {
 		case <-f.first:
 		default:
 			close(f.first)
 		}
 	}
+	acts.List.Version, f.nodes = name, nodes
 	return acts, until
 }
 
--- /dev/null
+++ b/internal/fleet/follow/told.go
@@ -0,0 +1,58 @@
+package follow
+
+import (
+	"irispost/internal/fleet/rules"
+	"irispost/internal/listing"
+)
+
+// listed is rules with the list of nodes that they come to, by address.
+type listed struct {
+	of    *rules.Rules
+	nodes []listing.Node
+}
+
+// list is the list of what is acted on. It has been made before the loop asks for it, unless only a floor counts since.
+func (f *Following) list(effect *rules.Rules) []listing.Node {
+	if l := f.made.Load(); l != nil && l.of == effect {
+		return l.nodes
+	}
+	return effect.List("").Nodes
+}
+
+// prepare makes the list of what is acted on, outside of the loop.
+func (f *Following) prepare(effect *rules.Rules) {
+	if effect != nil {
+		f.made.Store(&listed{effect, f.list(effect)})
+	}
+}
+
+// change is what to tell of a list after another: what is new or differs, or all of it. Connections to nodes that are left out or gone are
+// closed, which only a whole list does; nil: nothing was told before.
+func change(before, now []listing.Node) listing.List {
+	whole := listing.List{Nodes: now}
+	if before == nil {
+		return whole
+	}
+	part := listing.List{Part: true}
+	for len(now) > 0 {
+		switch {
+		case len(before) == 0 || now[0].Addr < before[0].Addr:
+			part.Nodes = append(part.Nodes, now[0])
+		case now[0].Addr > before[0].Addr:
+			return whole
+		default:
+			if now[0] != before[0] {
+				if now[0].Standing == listing.Gone {
+					return whole
+				}
+				part.Nodes = append(part.Nodes, now[0])
+			}
+			before = before[1:]
+		}
+		now = now[1:]
+	}
+	if len(before) > 0 {
+		return whole
+	}
+	return part
+}
