--- a/internal/fleet/accord/snapshot_test.go
+++ b/internal/fleet/accord/snapshot_test.go
@@ -205,7 +205,7 @@
 	if _, err := ask(0); err == nil || !strings.Contains(err.Error(), "kept for 1024 versions") || l.Announced != all {
 		t.Errorf("%v", err)
 	}
-	for _, p := range []*Proposal{{Rules: make([]byte, MostContent+1)}, {Why: strings.Repeat("w", 3000)}, {ID: strings.Repeat("w", 129)}} {
+	for _, p := range []*Proposal{{Rules: make([]byte, rules.Most+1)}, {Why: strings.Repeat("w", 3000)}, {ID: strings.Repeat("w", 129)}} {
 		if err := p.Check(); err == nil {
 			t.Error("a proposal that is too large is taken")
 		}
--- a/internal/fleet/keep/peer.go
+++ b/internal/fleet/keep/peer.go
@@ -95,12 +95,13 @@
 type greeting struct {
 	From   uint64 `json:"from"`
 	Starts uint64 `json:"starts"`
+	Run    uint64 `json:"run,omitempty"`  // this start's mark
 	Form   int    `json:"form,omitempty"` // of entries that it reads; 0: the first
 }
 
 // hello tells the other keeper of this start. ErrOlder: it knows a later one.
-func (p *peer) hello(ctx context.Context, from, starts uint64) error {
-	b, err := json.Marshal(greeting{from, starts, p.keeper.opt.form})
+func (p *peer) hello(ctx context.Context, g greeting) error {
+	b, err := json.Marshal(g)
 	if err != nil {
 		return err
 	}
