--- a/internal/fleet/keep/content.go
+++ b/internal/fleet/keep/content.go
@@ -119,7 +119,7 @@
 
 // ServeHTTP answers GET /content/{digest}: 200 with Content-Encoding dcz, zstd or none, 404 where the content is not here.
 func (c *contents) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	bare(w)
+	terse(w)
 	found, there := c.find(r.PathValue("digest"))
 	if !there {
 		w.WriteHeader(http.StatusNotFound)
@@ -187,8 +187,8 @@
 	return [sha256.Size]byte(b), nil
 }
 
-// bare leaves out of an answer what neither side needs: there is one a second and gateway.
-func bare(w http.ResponseWriter) {
+// terse leaves out of an answer what neither side needs: there is one a second and gateway.
+func terse(w http.ResponseWriter) {
 	w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
 }
 
--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -80,7 +80,7 @@
 	mux.HandleFunc("POST /renew", func(w http.ResponseWriter, r *http.Request) {
 		a := &accord.Ask{}
 		if read(w, r, a) {
-			bare(w)
+			terse(w)
 			k.answer(w, r, func(warden *accord.Warden) any { return warden.Renew(k.now(), a) })
 		}
 	})
@@ -116,8 +116,8 @@
 		if !read(w, r, p) {
 			return
 		}
-		if size := canonicalSize(p.Rules); size > rules.Most {
-			http.Error(w, fmt.Sprintf("the rules are %d bytes in their canonical form, and a version has %d at most", size, rules.Most), http.StatusBadRequest)
+		if size := proposedSize(p.Rules); size > rules.Most {
+			http.Error(w, fmt.Sprintf("the rules are %d bytes, and a version has %d at most", size, rules.Most), http.StatusBadRequest)
 			return
 		}
 		to := make(chan result, 1)
@@ -158,7 +158,7 @@
 		n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 		return n
 	}
-	bare(w)
+	terse(w)
 	known := standing{term: number("term"), inForce: number("in_force"), announced: number("announced"), leads: true}
 	hold := time.NewTimer(min(time.Duration(number("hold_ms"))*time.Millisecond, longestHold))
 	defer hold.Stop()
@@ -186,8 +186,12 @@
 	}
 }
 
-// canonicalSize is the size of rules as a version would have them. Those that cannot be read are refused, or kept as they are, in the log.
-func canonicalSize(b []byte) int {
+// proposedSize is the size of rules as they came, or if that is not too much as a version would have them. Those that cannot be read are
+// refused, or kept as they are, in the log.
+func proposedSize(b []byte) int {
+	if len(b) > rules.Most {
+		return len(b)
+	}
 	if r, err := rules.Read(b); err == nil {
 		return len(r.Canonical())
 	}
