--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -106,8 +106,8 @@
 		if !read(w, r, p) {
 			return
 		}
-		if size := canonicalSize(p.Rules); size > rules.Most {
-			http.Error(w, fmt.Sprintf("the rules are %d bytes in their canonical form, and a version has %d at most", size, rules.Most), http.StatusBadRequest)
+		if size := proposedSize(p.Rules); size > rules.Most {
+			http.Error(w, fmt.Sprintf("the rules are %d bytes, and a version has %d at most", size, rules.Most), http.StatusBadRequest)
 			return
 		}
 		to := make(chan result, 1)
@@ -169,8 +169,12 @@
 	}
 }
 
-// canonicalSize is the size of rules as a version would have them. Those that cannot be read are refused, or kept as they are, in the log.
-func canonicalSize(b []byte) int {
+// proposedSize is the size of rules as they came, or if that is not too much as a version would have them. Those that cannot be read are
+// refused, or kept as they are, in the log.
+func proposedSize(b []byte) int {
+	if len(b) > rules.Most {
+		return len(b)
+	}
 	if r, err := rules.Read(b); err == nil {
 		return len(r.Canonical())
 	}
