--- a/internal/fleet/keep/content_test.go
+++ b/internal/fleet/keep/content_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -123,8 +124,11 @@
 	})
 	<-done
 	contents := newContents(k) // nothing ready
-	k.http.Handler.(*http.ServeMux).Handle("GET /again/{digest}", contents)
-	req, _ := http.NewRequest(http.MethodGet, "http://"+h.peers[1]+"/again/"+last.Digest, nil)
+	mux := http.NewServeMux()
+	mux.Handle("GET /again/{digest}", contents)
+	again := httptest.NewServer(mux)
+	defer again.Close()
+	req, _ := http.NewRequest(http.MethodGet, again.URL+"/again/"+last.Digest, nil)
 	req.Header.Set("Accept-Encoding", "dcz, zstd")
 	req.Header.Set(headID, `"`+rules.Sum(one)+`"`)
 	a, err := http.DefaultClient.Do(req)
