Give each fleet of a test addresses of its own, and run four at a time

A keeper of one fleet took the port of another's that was about to start, seen with the race detector: three keepers ended, and the case proposed for two minutes to nobody. A keeper counts as started once it says that it serves; errors are no such line. Under the race detector with eleven fleets at once, on a machine at a load of 80, seven of the cases failed at their first start: 60 gateways did not all act within two minutes. Four at a time from now on; not run again yet.

--- a/internal/scale/keepers.go
+++ b/internal/scale/keepers.go
@@ -7,6 +7,8 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"irispost/internal/fleet/rig"
@@ -24,6 +26,15 @@
 	cmd    *exec.Cmd // nil: it is not there
 }
 
+// ownHost is an address of loopback that is this fleet's: a port that is free there is not taken by another fleet, of this process or of
+// another, while a keeper starts.
+func ownHost() string {
+	f := strings.Split(loopback.Own(), ".") // its second number is 64 to 127
+	return fmt.Sprintf("127.%d.%s.%s", 128+fleets.Add(1)%120, f[2], f[3])
+}
+
+var fleets atomic.Int64
+
 // openKeepers starts the keepers. Those of different regions reach each other over long links.
 func (f *Fleet) openKeepers() error {
 	var held []net.Listener
@@ -32,8 +43,9 @@
 			l.Close()
 		}
 	}()
+	host := ownHost()
 	for i, region := range f.Size.Keepers {
-		l, err := net.Listen("tcp", loopback.Own()+":0")
+		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return err
 		}
@@ -74,10 +86,11 @@
 		if err := cmd.Start(); err != nil {
 			return err
 		}
-		if _, err := bufio.NewReader(out).ReadString('\n'); err == nil {
+		if line, err := bufio.NewReader(out).ReadString('\n'); err == nil && strings.Contains(line, "serves") {
 			k.cmd = cmd
 			return nil
 		}
+		cmd.Process.Kill()
 		cmd.Wait()
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/scale/main_test.go
+++ b/internal/scale/main_test.go
@@ -19,7 +19,7 @@
 	as := map[string]func([]string) error{"keeper": keeperProcess, "case": func(args []string) error { return caseProcess(args[0]) }}
 	if len(os.Args) > 2 && as[os.Args[1]] != nil {
 		if err := as[os.Args[1]](os.Args[2:]); err != nil {
-			fmt.Println(err)
+			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
 		return
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -26,9 +26,14 @@
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Note: note, Flaw: flaw})
 }
 
+// slots are fleets that run at once: with all of them, a machine that others use too comes to stand still over their starts.
+var slots = make(chan struct{}, 4)
+
 // run runs a case: the ordinary day in a process of its own, as what this one holds is weighed there.
 func run(t *testing.T, name string, s Size, flaw Flaw) *Result {
 	t.Helper()
+	slots <- struct{}{}
+	defer func() { <-slots }()
 	if name != "ordinary" {
 		r, err := play(name, s, t.TempDir(), flaw, t.Logf)
 		if err != nil {
