Have the test of a forgotten base serve by a server of its own

Cause: it took the keeper's handler for a ServeMux, which it need not be.

Measured: go test -run Forgotten ./internal/fleet/keep passes (0.9 s).

--- a/internal/fleet/keep/content_test.go
+++ b/internal/fleet/keep/content_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -122,9 +123,11 @@
 		close(done)
 	})
 	<-done
-	contents := newContents(k) // nothing ready
-	k.http.Handler.(*http.ServeMux).Handle("GET /again/{digest}", contents)
-	req, _ := http.NewRequest(http.MethodGet, "http://"+h.peers[1]+"/again/"+last.Digest, nil)
+	mux := http.NewServeMux()
+	mux.Handle("GET /content/{digest}", newContents(k)) // nothing ready
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	req, _ := http.NewRequest(http.MethodGet, server.URL+"/content/"+last.Digest, nil)
 	req.Header.Set("Accept-Encoding", "dcz, zstd")
 	req.Header.Set(headID, `"`+rules.Sum(one)+`"`)
 	a, err := http.DefaultClient.Do(req)
