Play both forms of asks beside each other, and lists told in part, in the scale tests

Followers may ask in the form of the build before (Options.Whole), so that the case 'forms' is played and no longer told as not run. The defect of an old version told again keeps the whole list, since the loop is now told what has changed. The mark of a keeper's start has the field's name, incarnation.

--- a/internal/fleet/accord/follower.go
+++ b/internal/fleet/accord/follower.go
@@ -46,6 +46,7 @@
 	floor   Time
 	again   bool // ask at once
 	watched bool // news is told of as it comes: a lease is all that is asked for
+	form    int  // of its asks
 	lacks   bool // the content of a version that the last grant names
 	length  Time // of the lease that was granted last
 	peer    string
@@ -66,7 +67,7 @@
 
 // Follow makes a follower that knows nothing.
 func Follow(who string, pause Time, flaws Flaws) *Follower {
-	return &Follower{who: who, pause: pause, flaws: flaws, name: "none"}
+	return &Follower{who: who, pause: pause, flaws: flaws, name: "none", form: Apart}
 }
 
 // move is the one place where the state changes.
@@ -88,6 +89,9 @@
 // Reached tells where other gateways reach this one. Who is reached is told of the others.
 func (f *Follower) Reached(addr string) { f.peer = addr }
 
+// TakesWhole has it ask in the form of the build before, which takes versions with their contents.
+func (f *Follower) TakesWhole() { f.form = 0 }
+
 // Members takes what the last lease came with of members; nil: nothing has come since.
 func (f *Follower) Members() *Members {
 	m := f.newSet
@@ -125,7 +129,7 @@
 	if len(f.asked) > 16 {
 		f.asked = f.asked[1:]
 	}
-	a := &Ask{Who: f.who, Seq: f.seq, Term: f.term, Taken: f.taken, State: f.state.String(), Trouble: f.trouble, Set: f.set, Peer: f.peer, Form: Apart}
+	a := &Ask{Who: f.who, Seq: f.seq, Term: f.term, Taken: f.taken, State: f.state.String(), Trouble: f.trouble, Set: f.set, Peer: f.peer, Form: f.form}
 	for _, v := range f.held {
 		a.Holds = append(a.Holds, v.Number)
 	}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -40,6 +40,7 @@
 	Dial    Dial                          // opens connections to keepers; nil: a net.Dialer that gives up after Pause
 	Record  string                        // file for what was acted on from when; empty: none
 	Dir     string                        // folder for the last content, its own; empty: none, all is fetched after a start
+	Whole   bool                          // it asks in the form of the build before, which takes versions whole: for what plays both beside each other
 	Flaws   accord.Flaws
 	Log     *slog.Logger
 }
@@ -84,6 +85,9 @@
 	}
 	f := &Following{opt: opt, f: accord.Follow(boot, int64(opt.Pause), opt.Flaws), told: "none", first: make(chan struct{}), stir: make(chan struct{}, 1), heard: make(chan struct{}, 1), leave: func() {}}
 	f.f.Reached(opt.Peer)
+	if opt.Whole {
+		f.f.TakesWhole()
+	}
 	if opt.Record != "" {
 		var err error
 		if f.record, err = os.OpenFile(opt.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -245,7 +245,7 @@
 		go func() {
 			defer k.done.Done()
 			for ctx.Err() == nil {
-				switch err := p.hello(ctx, greeting{k.opt.Number, k.store.starts, k.store.run, k.opt.form}); {
+				switch err := p.hello(ctx, greeting{k.opt.Number, k.store.starts, k.store.incarnation, k.opt.form}); {
 				case err == nil:
 					news <- id
 					return
--- a/internal/fleet/keep/peer.go
+++ b/internal/fleet/keep/peer.go
@@ -93,10 +93,10 @@
 
 // greeting is a start of a keeper, as it tells the others.
 type greeting struct {
-	From   uint64 `json:"from"`
-	Starts uint64 `json:"starts"`
-	Run    uint64 `json:"run,omitempty"`  // this start's mark
-	Form   int    `json:"form,omitempty"` // of entries that it reads; 0: the first
+	From        uint64 `json:"from"`
+	Starts      uint64 `json:"starts"`
+	Incarnation uint64 `json:"incarnation,omitempty"` // this start's mark
+	Form        int    `json:"form,omitempty"`        // of entries that it reads; 0: the first
 }
 
 // hello tells the other keeper of this start. ErrOlder: it knows a later one.
--- a/internal/fleet/keep/server.go
+++ b/internal/fleet/keep/server.go
@@ -58,7 +58,7 @@
 		}
 		answer := make(chan int, 1)
 		if !k.do(r.Context(), func() {
-			switch ok, err := k.store.hello(g.From, g.Starts, g.Run); {
+			switch ok, err := k.store.hello(g.From, g.Starts, g.Incarnation); {
 			case err != nil:
 				k.err = err
 				answer <- http.StatusInternalServerError
--- a/internal/fleet/keep/store.go
+++ b/internal/fleet/keep/store.go
@@ -25,15 +25,15 @@
 // store is what lasts of a keeper: its number, how often it has started, Raft's state, log and snapshot, and how often it
 // knows each other keeper to have started. Each change is synced before anything is said that builds on it.
 type store struct {
-	db      *bbolt.DB
-	memory  *raft.MemoryStorage // the log as Raft reads it; it follows the disk
-	bytes   int                 // of the entries in it
-	starts  uint64
-	known   map[uint64]uint64 // starts of others
-	runs    map[uint64]uint64 // the mark of each of them; 0: of the form before
-	run     uint64            // this start's own: an older copy that has come to the same count has another
-	addrs   map[uint64]string // of keepers, as changes of voters told
-	history history
+	db           *bbolt.DB
+	memory       *raft.MemoryStorage // the log as Raft reads it; it follows the disk
+	bytes        int                 // of the entries in it
+	starts       uint64
+	known        map[uint64]uint64 // starts of others
+	incarnations map[uint64]uint64 // the mark of each of them; 0: of the form before
+	incarnation  uint64            // this start's own: an older copy that has come to the same count has another
+	addrs        map[uint64]string // of keepers, as changes of voters told
+	history      history
 }
 
 var (
@@ -75,7 +75,7 @@
 		db.Close()
 		return nil, err
 	}
-	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, runs: map[uint64]uint64{}, run: rand.Uint64(), addrs: map[uint64]string{},
+	s := &store{db: db, memory: raft.NewMemoryStorage(), known: map[uint64]uint64{}, incarnations: map[uint64]uint64{}, incarnation: rand.Uint64(), addrs: map[uint64]string{},
 		history: history{told: map[string]bool{}}}
 	if err := s.load(file, self, voters); err != nil {
 		db.Close()
@@ -165,7 +165,7 @@
 		return tx.Bucket(bucketKnown).ForEach(func(k, v []byte) error {
 			from := binary.BigEndian.Uint64(k)
 			if s.known[from] = binary.BigEndian.Uint64(v); len(v) == 16 {
-				s.runs[from] = binary.BigEndian.Uint64(v[8:])
+				s.incarnations[from] = binary.BigEndian.Uint64(v[8:])
 			}
 			return nil
 		})
@@ -269,18 +269,18 @@
 
 // hello notes a start of another keeper, by its count and mark; false tells that a later one is known already, or another with the same count.
 // One that says it again has not heard the answer.
-func (s *store) hello(from, starts, run uint64) (bool, error) {
-	if starts == s.known[from] && run == s.runs[from] && run != 0 {
+func (s *store) hello(from, starts, incarnation uint64) (bool, error) {
+	if starts == s.known[from] && incarnation == s.incarnations[from] && incarnation != 0 {
 		return true, nil
 	}
 	if starts <= s.known[from] {
 		return false, nil
 	}
 	err := s.db.Update(func(tx *bbolt.Tx) error {
-		return tx.Bucket(bucketKnown).Put(number(from), append(number(starts), number(run)...))
+		return tx.Bucket(bucketKnown).Put(number(from), append(number(starts), number(incarnation)...))
 	})
 	if err == nil {
-		s.known[from], s.runs[from] = starts, run
+		s.known[from], s.incarnations[from] = starts, incarnation
 	}
 	return err == nil, err
 }
--- a/internal/scale/form.go
+++ b/internal/scale/form.go
@@ -4,10 +4,10 @@
 
 // forms is how many forms of asks this build's followers know. With one there is no form before, and the case of both beside each other is
 // told as not run.
-const forms = 1
+const forms = 2
 
 // formBefore has a follower ask in the form of the build before. It is the one place that has to know how that is said in its options.
-func formBefore(*follow.Options) {}
+func formBefore(o *follow.Options) { o.Whole = true }
 
 // bothForms has every second gateway ask in the form of the build before, and makes changes.
 func bothForms(f *Fleet, r *Result) error {
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"irispost/internal/fleet/follow"
 	"irispost/internal/fleet/rig"
 	"irispost/internal/gateway"
+	"irispost/internal/listing"
 	"irispost/internal/node"
 	"irispost/internal/scale/meter"
 )
@@ -97,8 +99,26 @@
 // looks is what the loop asks, each time before it decides.
 type looks struct {
 	gateway.Rules
-	h    *Hollow
-	last *gateway.Acts
+	h     *Hollow
+	whole listing.List // what it was told of nodes, all together
+	last  listing.List // that, of the version that it acted on alone last
+}
+
+// told takes a list, or what has changed in one.
+func (l *looks) told(list listing.List) {
+	if !list.Part {
+		l.whole = list
+		return
+	}
+	nodes := slices.Clone(l.whole.Nodes)
+	for _, n := range list.Nodes {
+		if i := slices.IndexFunc(nodes, func(o listing.Node) bool { return o.Addr == n.Addr }); i >= 0 {
+			nodes[i] = n
+		} else {
+			nodes = append(nodes, n)
+		}
+	}
+	l.whole = listing.List{Version: list.Version, Nodes: nodes}
 }
 
 // At is the follower's, for a slow gateway after a while, and for one with a defect without what it loses.
@@ -114,17 +134,20 @@
 		if l.h.flaw&LoseVersion != 0 {
 			return nil, until
 		}
-		if l.h.flaw&TurnsBack != 0 && l.last != nil {
+		if l.h.flaw&TurnsBack != 0 && l.last.Version != "" {
 			l.h.lost.Store(0)
 			go func() {
 				l.h.loop.List(acts.List)
-				l.h.loop.List(l.last.List)
+				l.h.loop.List(l.last)
 			}()
 			return acts, until
 		}
 	}
-	if alone(acts.List.Version) > 0 {
-		l.last = acts
+	if l.h.flaw&TurnsBack != 0 {
+		l.told(acts.List)
+		if alone(acts.List.Version) > 0 {
+			l.last = l.whole
+		}
 	}
 	return acts, until
 }
