Answer a change of voters that has been made already as made

Cause: Client.ask asks again after any answer but a refusal; a change whose answer was lost or late (5 s) had been made by then and Voters.check refused it (client.go ask, voters.go proposeVoters). Change: a change of which nothing is left to do is answered as made. Removing a number that was never used is refused as before. Not mended: asked again while the same change is still under way, it is refused as another one. Test: TestKeeperIsReplaced asks twice, which is stricter than once; it fails without the mend ("keeper 2 does not vote, [1 3 4] do"). go test ./internal/fleet/keep ok, 1.7 s.

--- a/internal/fleet/keep/voters.go
+++ b/internal/fleet/keep/voters.go
@@ -50,6 +50,21 @@
 	return nil
 }
 
+// made tells that the change has been made already: who asks again has not heard the answer.
+func (v *Voters) made(now []uint64, used map[uint64]string) bool {
+	for _, n := range v.Remove {
+		if _, known := used[n]; !known || slices.Contains(now, n) {
+			return false
+		}
+	}
+	for n, addr := range v.Add {
+		if used[n] != addr || !slices.Contains(now, n) {
+			return false
+		}
+	}
+	return len(v.Add)+len(v.Remove) > 0
+}
+
 // change makes it an entry of the log.
 func (v *Voters) change() *raftpb.ConfChangeV2 {
 	c := &raftpb.ConfChangeV2{}
@@ -76,6 +91,10 @@
 		to <- fmt.Errorf("%w: another change is under way", ErrVoters)
 		return
 	}
+	if v.made(k.conf.GetVoters(), k.addrs) {
+		to <- nil
+		return
+	}
 	if err := v.check(k.conf.GetVoters(), k.addrs); err != nil {
 		to <- err
 		return
@@ -153,7 +172,7 @@
 	}
 }
 
-// Voters changes who keeps the versions. Asked again after it is done, it is refused, as the numbers are used then.
+// Voters changes who keeps the versions. It may be asked for again after it is done, which changes nothing.
 func (c *Client) Voters(v *Voters) error {
 	done := false
 	return c.ask(http.MethodPost, "/voters", v, &done)
--- a/internal/fleet/keep/voters_test.go
+++ b/internal/fleet/keep/voters_test.go
@@ -46,8 +46,10 @@
 			t.Errorf("%+v: %v", v, err)
 		}
 	}
-	if err := c.Voters(&Voters{Add: map[uint64]string{4: h.peers[4]}, Remove: []uint64{2}}); err != nil {
-		t.Fatal(err)
+	for range 2 { // who does not hear the answer asks again
+		if err := c.Voters(&Voters{Add: map[uint64]string{4: h.peers[4]}, Remove: []uint64{2}}); err != nil {
+			t.Fatal(err)
+		}
 	}
 	propose(31)
 	if s, err := c.Status(); err != nil || fmt.Sprint(s.Voters) != "[1 3 4]" {
