--- a/internal/fleet/accord/entry.go
+++ b/internal/fleet/accord/entry.go
@@ -20,9 +20,6 @@
 // mark is the first byte of what is in the second form.
 const mark = 0x02
 
-// MostContent is the largest content that a version may have, bytes.
-const MostContent = 16 << 20
-
 // The largest texts of a proposal, bytes: they stay in each keeper's log and history.
 const (
 	mostID  = 128
@@ -38,7 +35,7 @@
 	for _, part := range []struct {
 		what       string
 		have, most int
-	}{{"content", len(p.Rules), MostContent}, {"ID", len(p.ID), mostID}, {"author", len(p.Author), mostWho}, {"time", len(p.Time), mostWho}, {"reason", len(p.Why), mostWhy}} {
+	}{{"content", len(p.Rules), rules.Most}, {"ID", len(p.ID), mostID}, {"author", len(p.Author), mostWho}, {"time", len(p.Time), mostWho}, {"reason", len(p.Why), mostWhy}} {
 		if part.have > part.most {
 			return fmt.Errorf("the proposal's %s has %d bytes, %d at most are taken", part.what, part.have, part.most)
 		}
@@ -85,7 +82,7 @@
 	if p.Coded, err = delta.Encode(base, p.Rules); err != nil {
 		return err
 	}
-	if b, err := delta.Decode(base, p.Coded, MostContent); err != nil || rules.Sum(b) != p.Digest { // each keeper would end by it
+	if b, err := delta.Decode(base, p.Coded, rules.Most); err != nil || rules.Sum(b) != p.Digest { // each keeper would end by it
 		return fmt.Errorf("the content of %d bytes is not the same once it is coded and decoded: %v", len(p.Rules), err)
 	}
 	p.Rules = nil
@@ -128,7 +125,7 @@
 		}
 		base = v.Rules
 	}
-	b, err := delta.Decode(base, p.Coded, MostContent)
+	b, err := delta.Decode(base, p.Coded, rules.Most)
 	if err != nil {
 		return nil, fmt.Errorf("%w: proposal %q, a delta of %d bytes from version %d: %w", ErrEntry, p.ID, len(p.Coded), p.Base, err)
 	}
--- a/internal/fleet/accord/snapshot.go
+++ b/internal/fleet/accord/snapshot.go
@@ -133,7 +133,7 @@
 		if err != nil {
 			return err
 		}
-		if v.Rules, err = delta.Decode(base, coded, MostContent); err != nil {
+		if v.Rules, err = delta.Decode(base, coded, rules.Most); err != nil {
 			return fmt.Errorf("version %d, coded from %d: %w", v.Number, from, err)
 		}
 		if sum := rules.Sum(v.Rules); sum != v.Digest {
--- a/internal/fleet/accord/world_test.go
+++ b/internal/fleet/accord/world_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"testing"
 
+	"irispost/internal/fleet/content"
 	"irispost/internal/fleet/rules"
 	"irispost/internal/listing"
 )
@@ -26,6 +27,8 @@
 	wallClock                           // gateways read a clock that is set back at times
 	lostLog                             // a new leader lacks what an older one had acknowledged
 	noSnapshot                          // a keeper that lags over a compaction goes on with the entries that are left
+	noDigest                            // what has come of contents, and what was on a disk, is taken as it is
+	oldSpool                            // what was on a disk counts as any content
 )
 
 const lease = Time(1e9)
@@ -107,6 +110,9 @@
 	stopped bool
 	cut     bool    // its messages are lost
 	only    *keeper // the one that it reaches; nil: all
+	before  bool    // it asks in the form before: versions come whole
+	hold    *content.Holding
+	spool   [][]byte // what has been on its disk
 }
 
 type world struct {
@@ -166,7 +172,7 @@
 		w.keepers = append(w.keepers, &keeper{clock: w.clock(), ledger: NewLedger()})
 	}
 	for range 2 + w.rand.IntN(3) {
-		h := &host{clock: w.clock()}
+		h := &host{clock: w.clock(), before: w.chance(0.3)}
 		w.hosts = append(w.hosts, h)
 		w.start(h)
 	}
@@ -187,6 +193,7 @@
 func (w *world) start(h *host) {
 	w.starts++
 	h.f = Follow("g"+strconv.Itoa(w.starts), lease/4, w.flaws)
+	h.begin(w)
 }
 
 func (w *world) post(after Time, what func()) {
@@ -361,6 +368,9 @@
 		k = h.only
 	}
 	f, a := h.f, h.f.Ask(h.at(w.now))
+	if h.before {
+		a.Form = 0
+	}
 	d := w.delay()
 	if d < 0 || h.cut {
 		return
@@ -391,7 +401,7 @@
 	case h.stopped:
 		w.post(lease/10, func() { w.hear(h, f, g) })
 	default:
-		f.Heard(h.at(w.now), g)
+		w.fetch(h, f, g)
 	}
 }
 
@@ -599,7 +609,8 @@
 		"lease from receipt": FromReceipt, "no wait": NoWait, "no meet": NoMeet, "a new leader knows nobody": FreshLeader,
 		"floors not waited for": NoFloor, "no drift": NoDrift, "grants in any order": TakesOld, "leases beside the log": NoJoin,
 		"no leases": NoLease, "no confirmation": noConfirm, "wall clock": wallClock, "log lost": lostLog,
-		"a base dropped while a floor rests on it": DropsHeld, "none forgotten": KeepsAll, "no snapshot after a compaction": noSnapshot} {
+		"a base dropped while a floor rests on it": DropsHeld, "none forgotten": KeepsAll, "no snapshot after a compaction": noSnapshot,
+		"digest not checked": noDigest, "an old spool acted on": oldSpool} {
 		seed, why, _ := runs(0, 20000, flaw, 200)
 		if seed == 0 {
 			t.Errorf("%s: not found", name)
--- a/internal/fleet/keep/history.go
+++ b/internal/fleet/keep/history.go
@@ -75,7 +75,7 @@
 		if known { // the log told it again
 			continue
 		}
-		leaves[at] = slices.Insert(leaves[at], place, bare(v))
+		leaves[at] = slices.Insert(leaves[at], place, plainly(v))
 		if i+segment*(mostSegment+1) < len(h.pending) { // it would be dropped at once
 			continue
 		}
@@ -173,7 +173,7 @@
 		} else if base == nil {
 			continue // what it is a delta from was told of
 		}
-		content, err := delta.Decode(base, v[size:], accord.MostContent)
+		content, err := delta.Decode(base, v[size:], rules.Most)
 		if err != nil {
 			h.spoilt(fmt.Sprintf("content of version %d at place %d", head>>1, binary.BigEndian.Uint64(k)), err)
 		} else {
@@ -238,8 +238,8 @@
 
 func byNumber(v *rules.Version, n uint64) int { return int(int64(v.Number) - int64(n)) }
 
-// bare is a version without its content.
-func bare(v *rules.Version) *rules.Version {
+// plainly is a version without its content.
+func plainly(v *rules.Version) *rules.Version {
 	return &rules.Version{Number: v.Number, Parent: v.Parent, Digest: v.Digest, Author: v.Author, Why: v.Why, Time: v.Time}
 }
 
--- a/internal/fleet/keep/keeper.go
+++ b/internal/fleet/keep/keeper.go
@@ -175,7 +175,9 @@
 	k.addrs = s.addrs
 	maps.Copy(k.addrs, opt.Peers) // what it is told now counts before what it was told once
 	k.meet()
-	k.http = &http.Server{Handler: k.formed(k.handler()), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	mux := http.NewServeMux()
+	mux.Handle("/", k.formed(k.handler()))
+	k.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	go k.http.Serve(k.listener)
 	go k.run(k.ctx)
 	return k, nil
@@ -245,7 +247,7 @@
 		go func() {
 			defer k.done.Done()
 			for ctx.Err() == nil {
-				switch err := p.hello(ctx, k.opt.Number, k.store.starts); {
+				switch err := p.hello(ctx, greeting{k.opt.Number, k.store.starts, k.store.run, k.opt.form}); {
 				case err == nil:
 					news <- id
 					return
--- a/internal/fleet/keep/rest_test.go
+++ b/internal/fleet/keep/rest_test.go
@@ -365,7 +365,7 @@
 	h := newHome(t)
 	h.must(1, 2, 3)
 	c := h.client()
-	_, err := c.Propose(&accord.Proposal{ID: "a", Rules: make([]byte, accord.MostContent+1)})
+	_, err := c.Propose(&accord.Proposal{ID: "a", Rules: make([]byte, rules.Most+1)})
 	if err == nil || !strings.Contains(err.Error(), "16777217 bytes") {
 		t.Errorf("%v", err)
 	}
