--- a/internal/fleet/keep/history.go
+++ b/internal/fleet/keep/history.go
@@ -75,7 +75,7 @@
 		if known { // the log told it again
 			continue
 		}
-		leaves[at] = slices.Insert(leaves[at], place, bare(v))
+		leaves[at] = slices.Insert(leaves[at], place, plainly(v))
 		if i+segment*(mostSegment+1) < len(h.pending) { // it would be dropped at once
 			continue
 		}
@@ -238,8 +238,8 @@
 
 func byNumber(v *rules.Version, n uint64) int { return int(int64(v.Number) - int64(n)) }
 
-// bare is a version without its content.
-func bare(v *rules.Version) *rules.Version {
+// plainly is a version without its content.
+func plainly(v *rules.Version) *rules.Version {
 	return &rules.Version{Number: v.Number, Parent: v.Parent, Digest: v.Digest, Author: v.Author, Why: v.Why, Time: v.Time}
 }
 
