Have the scale tests' leak keep whole lists, and the hour apart take versions whole

The loop is told what has changed in a list, so the leak that is put in kept next to nothing and the check had nothing to see; it keeps each list whole now, as before. Contents travel apart from grants, which the hour in virtual time has no part in.

--- a/internal/scale/apart.go
+++ b/internal/scale/apart.go
@@ -54,6 +54,8 @@
 	now := int64(1e9)
 	w := accord.Lead(now, 1, l, 0)
 	here, there := accord.Follow("here", a.Lease/5, 0), accord.Follow("there", a.Lease/5, 0)
+	here.TakesWhole() // how contents travel takes no virtual time
+	there.TakesWhole()
 	ask := func(f *accord.Follower) {
 		for range 3 { // an ask that is followed by another at once is
 			if f.Due(now) <= now {
--- a/internal/scale/witness.go
+++ b/internal/scale/witness.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"strings"
 	"sync"
 
 	"golang.org/x/sys/unix"
@@ -22,7 +23,7 @@
 	shards int
 	serves []string // by shard: the node to send to, as the module was told last; "": none
 	turns  []Turn
-	kept   []listing.List // a leak that was put in
+	kept   [][]listing.Node // a leak that was put in: each list, whole, whether it was told whole or in part
 	leaks  bool
 }
 
@@ -35,7 +36,7 @@
 			serves[n.Shard] = n.Addr
 		}
 	}
-	w.note(t, serves, l)
+	w.note(t, serves)
 }
 
 // ListedPart notes what has changed in a list.
@@ -59,14 +60,18 @@
 			serves[n.Shard] = n.Addr
 		}
 	}
-	w.note(t, serves, l)
+	w.note(t, serves)
 }
 
-func (w *witness) note(t Turn, serves []string, l listing.List) {
+func (w *witness) note(t Turn, serves []string) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	if w.leaks {
-		w.kept = append(w.kept, l)
+		whole := make([]listing.Node, len(serves))
+		for shard, addr := range serves {
+			whole[shard] = listing.Node{Addr: strings.Clone(addr), Shard: shard}
+		}
+		w.kept = append(w.kept, whole)
 	}
 	for shard, addr := range serves {
 		if len(w.serves) > 0 && addr != w.serves[shard] { // the first list is what others are held against
