Keep the later of two asks' numbers where both were granted the same

Cause: asks 5 and 4 came out of order and were granted the same; the second entry took the place of the first with the lower number (Warden.Renew), so that an ask that said that it had taken grant 4 had the warden forget that grant 5 was still out. The same entry told floorFits what a floor may rest on, so a version could have come into force too early before as well. Change: the entry keeps the higher number.

--- a/internal/fleet/accord/warden.go
+++ b/internal/fleet/accord/warden.go
@@ -123,10 +123,15 @@
 		return g // it is heard and does not hear: what it holds has to run out
 	}
 	span := t.longer(w.floorOf([]uint64{g.InForce, g.Announced}))
+	last := a.Seq // asks may come out of order, and each that was granted the same may be the one that is taken
 	h.granted = slices.DeleteFunc(h.granted, func(o granted) bool {
-		return o.inForce == g.InForce && o.announced == g.Announced || now > o.until
+		same := o.inForce == g.InForce && o.announced == g.Announced
+		if same {
+			last = max(last, o.seq)
+		}
+		return same || now > o.until
 	})
-	h.granted = append(h.granted, granted{a.Seq, g.InForce, g.Announced, now + max(t.longer(t.Lease), span)})
+	h.granted = append(h.granted, granted{last, g.InForce, g.Announced, now + max(t.longer(t.Lease), span)})
 	h.heard, h.state, h.trouble, h.peer = now, a.State, a.Trouble, a.Peer
 	h.lease = max(h.lease, now+t.longer(t.Lease))
 	if w.flaws.Has(NoDrift) {
