--- a/internal/capacity/take_test.go
+++ b/internal/capacity/take_test.go
@@ -10,6 +10,7 @@
 )
 
 // TestMeasureTake takes in what `irispost fleet bench --json` and `irispost fleet scale --json` wrote: IRISPOST_TAKE=FILE,FILE,...
+// IRISPOST_TAKE_COMMAND and IRISPOST_TAKE_COMMIT say how and of which text they were made, where that is not the one that takes them in.
 func TestMeasureTake(t *testing.T) {
 	names := os.Getenv("IRISPOST_TAKE")
 	if names == "" {
@@ -28,6 +29,9 @@
 	if command == "" {
 		command = "irispost fleet bench --followers N --nodes N --json FILE; IRISPOST_TAKE=FILE,... " + s.command
 	}
+	if commit := os.Getenv("IRISPOST_TAKE_COMMIT"); commit != "" {
+		s.commit = commit
+	}
 	list, left, err := capacity.Taken(files, command, s.commit)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/rig/link.go
+++ b/internal/fleet/rig/link.go
@@ -144,6 +144,10 @@
 	l.pairs[p] = true
 	l.lock.Unlock()
 	defer func() {
+		if !p.brokenNow(l) { // what was written to the end still comes; of a connection that was reset before nothing is left
+			p.in.Close()
+			p.out.Close()
+		}
 		p.reset()
 		l.lock.Lock()
 		delete(l.pairs, p)
--- a/internal/fleet/rig/link_test.go
+++ b/internal/fleet/rig/link_test.go
@@ -52,3 +52,38 @@
 		t.Errorf("%d bytes of %d came back, or others: %v", 1+len(rest), len(sent), err)
 	}
 }
+
+// What was sent before an orderly end comes, also to who reads it only after the link has let the connection go.
+func TestWhatWasSentComesAfterTheEnd(t *testing.T) {
+	listen := func() *net.TCPListener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l.(*net.TCPListener)
+	}
+	far, near := listen(), listen()
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<15) // more than who does not read takes in, less than the link's socket holds
+	go func() {
+		if c, err := far.Accept(); err == nil {
+			c.Write(sent)
+			c.Close()
+		}
+	}()
+	c, err := net.Dial("tcp", near.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).CloseWrite()
+	in, err := near.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.SetWriteBuffer(1 << 20)
+	(&Link{to: far.Addr().String(), pairs: map[*pair]bool{}, quit: make(chan struct{})}).serve(in)
+	if b, err := io.ReadAll(c); err != nil || !bytes.Equal(b, sent) {
+		t.Errorf("%d bytes of %d: %v", len(b), len(sent), err)
+	}
+}
