--- a/internal/scale/fleetbench/fleetbench_test.go
+++ b/internal/scale/fleetbench/fleetbench_test.go
@@ -183,3 +183,20 @@
 		t.Error("keepers of a program that is none have started")
 	}
 }
+
+// One that is to be started again where it ends by itself is, a few times, and each is counted and told.
+func TestKeepersAreStartedAgain(t *testing.T) {
+	var told []string
+	ks, err := startKeepers("/bin/false", t.TempDir(), func(line string) { told = append(told, line) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ks.close()
+	for _, k := range ks.list {
+		k.revive = true
+	}
+	err = ks.until(context.Background(), "nothing ends", time.Millisecond, func() bool { return false })
+	if err == nil || !strings.Contains(err.Error(), "has ended") || ks.ends != mostEnds || len(told) != mostEnds || !strings.Contains(told[0], "started again") {
+		t.Errorf("%d times, %q, %v", ks.ends, told, err)
+	}
+}
