--- a/cmd/irispost/size.go
+++ b/cmd/irispost/size.go
@@ -25,6 +25,7 @@
 	c.Flags().IntVar(&o.Changes, "changes", 40, "versions to be proposed one after another")
 	c.Flags().DurationVar(&o.Idle, "idle", 10*time.Second, "time for which all are watched at rest")
 	c.Flags().BoolVar(&o.Kill, "kill", false, "kill the leading keeper after half of the changes, and start it again a quarter later")
+	c.Flags().BoolVar(&o.Straight, "straight", false, "keepers reach each other without relays in this process: for times; what passes between them is not counted")
 	c.Flags().IntSliceVar(&o.Marks, "marks", nil, "numbers of changes after which the keepers' memory and folders are read, as 500,10000")
 	file := c.Flags().String("json", "", "file for the figures")
 	c.RunE = func(c *cobra.Command, _ []string) (err error) {
--- a/internal/scale/fleetbench/figures.go
+++ b/internal/scale/fleetbench/figures.go
@@ -46,6 +46,7 @@
 	KeeperMBStart    []float64 `json:"keeper_mb_start"`    // each, by number, before the changes
 	KeeperMB         []float64 `json:"keeper_mb"`          // each, at the end
 	LeaderOut        float64   `json:"leader_out_bytes_change"`
+	Straight         bool      `json:"straight,omitempty"` // what passes between keepers is not in LeaderOut
 }
 
 // rest is what the fleet used while nothing changed.
--- a/internal/scale/fleetbench/keepers.go
+++ b/internal/scale/fleetbench/keepers.go
@@ -31,19 +31,20 @@
 
 // keepers are the processes, with a relay from each to each other so that what passes between them is counted.
 type keepers struct {
-	program string
-	dir     string
-	list    []*keeper               // by number, from 1
-	relays  map[[2]int]*meter.Relay // from one number to another
-	ends    int                     // how often one ended by itself and was started again
-	note    func(line string)
+	program  string
+	dir      string
+	list     []*keeper               // by number, from 1
+	relays   map[[2]int]*meter.Relay // from one number to another
+	straight bool                    // no relays
+	ends     int                     // how often one ended by itself and was started again
+	note     func(line string)
 }
 
 // founders is how many keepers found the fleet.
 const founders = 3
 
-func startKeepers(program, dir string, note func(line string)) (*keepers, error) {
-	ks := &keepers{program: program, dir: dir, relays: map[[2]int]*meter.Relay{}, note: note}
+func startKeepers(o Options, dir string) (*keepers, error) {
+	ks := &keepers{program: o.Program, dir: dir, straight: o.Straight, relays: map[[2]int]*meter.Relay{}, note: o.Note}
 	if err := ks.found(); err != nil {
 		ks.close()
 		return nil, err
@@ -90,6 +91,10 @@
 		if other == k {
 			continue
 		}
+		if ks.straight {
+			k.args = append(k.args, "--peer", fmt.Sprintf("%d=%s", other.number, other.addr))
+			continue
+		}
 		r, err := meter.NewRelay(loopback.Own(), other.addr)
 		if err != nil {
 			return err
--- a/internal/scale/fleetbench/options.go
+++ b/internal/scale/fleetbench/options.go
@@ -17,6 +17,7 @@
 	Changes   int           // one after another, each in force before the next
 	Idle      time.Duration // how long the fleet is watched at rest
 	Kill      bool          // the leading keeper is killed in the midst of the changes, and started again
+	Straight  bool          // keepers reach each other without relays: what passes between them is not counted, and waits for no follower of this process
 	Marks     []int         // measured is what grows instead: at each of these numbers of changes
 	Note      func(line string)
 }
@@ -41,6 +42,8 @@
 		return fmt.Errorf("--idle %v: above 0", o.Idle)
 	case o.Kill && len(o.Marks) > 0:
 		return fmt.Errorf("--kill and --marks: one at a time")
+	case o.Straight && len(o.Marks) > 0:
+		return fmt.Errorf("--straight and --marks: what a keeper that joins takes is counted by relays")
 	case o.Kill && o.Changes < 4:
 		return fmt.Errorf("--kill with --changes %d: at least 4, for changes before, while it is down, and while it comes back", o.Changes)
 	}
