--- a/review/testdata/cases/push.go
+++ b/review/testdata/cases/push.go
@@ -13,6 +13,7 @@
 	"time"
 )
 
+// The program is kept beside the cases: bin/review-cases push RECORD.
 func init() { cases["push"] = playPush }
 
 const (
@@ -42,7 +43,7 @@
 func playPush(b *bench) (broken bool, err error) {
 	nodes := make([]*webNode, 3)
 	for i := range nodes {
-		if nodes[i], err = startWebNode(b, fmt.Sprintf("s-%d", i+1)); err != nil {
+		if nodes[i], err = startWebNode(b, fmt.Sprintf("s-%d", i+1), i == 0); err != nil {
 			return false, err
 		}
 		defer nodes[i].listener.Close()
@@ -182,7 +183,6 @@
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	watch := err == nil
 	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
-	d.b.logf("  discovery is asked: %s from %s", r.URL.RequestURI(), r.RemoteAddr)
 	d.lock.Lock()
 	list, changed := d.list, d.changed
 	d.lock.Unlock()
@@ -203,7 +203,7 @@
 	body, _ := json.Marshal(list)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
-	d.b.logf("  discovery answers %s: rev %d, %d entries", r.RemoteAddr, list.Rev, len(list.Targets))
+	d.b.logf("  discovery answers %s to %s: rev %d, %d entries", r.URL.RequestURI(), r.RemoteAddr, list.Rev, len(list.Targets))
 }
 
 // webNode is a stand-in for a storage node: it serves every request after a few milliseconds.
@@ -211,17 +211,18 @@
 	b        *bench
 	uid      string
 	listener net.Listener
+	noted    bool // each request goes into the record
 
 	lock  sync.Mutex
 	begun []time.Time // when the first byte of each request came
 }
 
-func startWebNode(b *bench, uid string) (*webNode, error) {
+func startWebNode(b *bench, uid string, noted bool) (*webNode, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	n := &webNode{b: b, uid: uid, listener: listener}
+	n := &webNode{b: b, uid: uid, listener: listener, noted: noted}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -261,7 +262,9 @@
 		n.begun = append(n.begun, at)
 		n.lock.Unlock()
 		id := request.Header.Get("X-Request-Id")
-		n.b.logf("  %s is sent request %s", n.uid, id)
+		if n.noted {
+			n.b.logf("  %s is sent request %s", n.uid, id)
+		}
 		time.Sleep(5 * time.Millisecond)
 		body := "data of " + id
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
