--- a/review/testdata/second/files.go
+++ b/review/testdata/second/files.go
@@ -14,7 +14,7 @@
 	"irispost/internal/standin"
 )
 
-// shards is the number of shards, each with one storage node.
+// shards is the usual number of shards, each with one storage node.
 const shards = 3
 
 // gatewaySettings are the settings of the gateway, as in examples/canteen.hcl, for one gateway and one volume. The
@@ -22,11 +22,11 @@
 const gatewaySettings = `
 gateway "g0" {
   listen   = %q
-  shards   = 3
+  shards   = %d
   extent   = "256KiB"
   gateways = 1
   stop_by  = "10s"
-}
+%s}
 units {
   bytes   = "16KiB"
   least   = 0.25
@@ -91,10 +91,15 @@
 // startFileGateway starts a storage node for each shard, a relay in front of each, and a gateway that has its list of
 // nodes from a file.
 func (p *play) startFileGateway(hold func(call *node.Call) time.Duration) (*fileGateway, error) {
-	relays, err := p.startFileNodes(hold)
+	relays, err := p.startFileNodes(shards, hold)
 	if err != nil {
 		return nil, err
 	}
+	return p.startGatewayWithList(relays, "")
+}
+
+// startGatewayWithList starts a gateway with the list of its nodes in a file, and with more settings.
+func (p *play) startGatewayWithList(relays []*relay, more string) (*fileGateway, error) {
 	var list strings.Builder
 	for shard, relay := range relays {
 		fmt.Fprintf(&list, "node %q {\n  shard = %d\n}\n", relay.addr(), shard)
@@ -103,12 +108,12 @@
 	if err := os.WriteFile(file, []byte(list.String()), 0o644); err != nil {
 		return nil, err
 	}
-	return p.serveFiles(fmt.Sprintf("source \"own\" \"list\" {\n  file = %q\n}\n", file))
+	return p.serveFiles(len(relays), more, fmt.Sprintf("source \"own\" \"list\" {\n  file = %q\n}\n", file))
 }
 
 // startFileNodes starts a storage node for each shard and a relay in front of each.
-func (p *play) startFileNodes(hold func(call *node.Call) time.Duration) (relays []*relay, err error) {
-	for shard := range shards {
+func (p *play) startFileNodes(count int, hold func(call *node.Call) time.Duration) (relays []*relay, err error) {
+	for shard := range count {
 		store, err := standin.NewStore("")
 		if err != nil {
 			return nil, err
@@ -128,14 +133,14 @@
 	return relays, nil
 }
 
-// serveFiles starts a gateway with a source of its list of nodes.
-func (p *play) serveFiles(source string) (*fileGateway, error) {
+// serveFiles starts a gateway with more settings in its block and a source of its list of nodes.
+func (p *play) serveFiles(shards int, more, source string) (*fileGateway, error) {
 	addr, err := freeAddr()
 	if err != nil {
 		return nil, err
 	}
 	config := filepath.Join(p.dir, "gateway.hcl")
-	if err := os.WriteFile(config, fmt.Appendf(nil, gatewaySettings+source, addr), 0o644); err != nil {
+	if err := os.WriteFile(config, fmt.Appendf(nil, gatewaySettings+source, addr, shards, more), 0o644); err != nil {
 		return nil, err
 	}
 	process, err := p.startProcess("gateway g0", nil, "serve", "--config", config)
--- a/review/testdata/second/relay.go
+++ b/review/testdata/second/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"irispost/internal/backend/node"
@@ -12,11 +13,13 @@
 )
 
 // relay is a link between a gateway and a storage node. It passes all packets on in order, except that hold may make
-// the answer to one execution come later. Answers carry the ID of their request, so other answers may overtake it.
+// the answer to one execution come later. Answers carry the ID of their request, so other answers may overtake it. With
+// slow set, each packet reaches the node so much later, in order.
 type relay struct {
 	listener net.Listener
 	target   string
 	hold     func(call *node.Call) time.Duration // delay of the answer to a call; 0: none
+	slow     atomic.Int64                        // nanoseconds
 }
 
 // startRelay starts a relay to the node at target.
@@ -50,7 +53,18 @@
 	defer func() { _ = storage.Close() }()
 	var lock sync.Mutex
 	delays := map[uint32]time.Duration{}
+	forward := make(chan delayedPacket, 1024)
+	defer close(forward)
 	go func() {
+		for next := range forward {
+			time.Sleep(time.Until(next.at))
+			_, _ = storage.Write(next.packet) // a failure ends the connection, which the reader sees
+		}
+	}()
+	requests := make(chan struct{})
+	defer func() { _ = storage.Close(); _ = gateway.Close(); <-requests }()
+	go func() {
+		defer close(requests)
 		defer func() { _ = storage.Close(); _ = gateway.Close() }()
 		for {
 			packet, err := readPacket(gateway)
@@ -62,9 +76,7 @@
 				delays[binary.BigEndian.Uint32(packet[5:])] = delay
 				lock.Unlock()
 			}
-			if _, err := storage.Write(packet); err != nil {
-				return
-			}
+			forward <- delayedPacket{packet, time.Now().Add(time.Duration(r.slow.Load()))}
 		}
 	}()
 	var writing sync.Mutex
@@ -94,6 +106,12 @@
 	}
 }
 
+// delayedPacket is a packet that reaches the node at a time.
+type delayedPacket struct {
+	packet []byte
+	at     time.Time
+}
+
 // delayOf returns the delay of the answer to a packet, which has to be an execution.
 func (r *relay) delayOf(packet []byte) time.Duration {
 	if len(packet) < 9 || sftp.Type(packet[4]) != sftp.Extended {
