--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -7,12 +7,15 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -26,11 +29,10 @@
 	dir     string // temporary folder
 	start   time.Time
 
-	lock     sync.Mutex
-	lines    []string // of record.txt
-	broken   []string // how the rule was broken
-	closers  []func()
-	finished bool
+	lock    sync.Mutex
+	lines   []string // of record.txt
+	broken  []string // how the rule was broken
+	closers []func()
 }
 
 // cases are the cases by name.
@@ -57,10 +59,14 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	p := &play{trouble: os.Getenv("TROUBLE") != "0", root: root, dir: dir, start: time.Now()}
 	p.note("disruption: %v", p.trouble)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	done := make(chan error, 1)
 	go func() { done <- playCase(p) }()
 	select {
 	case err = <-done:
+	case <-interrupted:
+		err = errors.New("interrupted")
 	case <-time.After(maxDuration):
 		err = fmt.Errorf("the case did not end within %v", maxDuration)
 	}
@@ -116,7 +122,6 @@
 
 func (p *play) close() {
 	p.lock.Lock()
-	p.finished = true
 	closers := slices.Clone(p.closers)
 	p.lock.Unlock()
 	for _, closer := range slices.Backward(closers) {
