--- a/review/testdata/second/relay.go
+++ b/review/testdata/second/relay.go
@@ -125,6 +125,9 @@
 	if err != nil {
 		return 0
 	}
+	if r.hold == nil {
+		return 0
+	}
 	return r.hold(call)
 }
 
