--- a/review/testdata/second/sweep.go
+++ b/review/testdata/second/sweep.go
@@ -85,7 +85,7 @@
 		time.AfterFunc(slowFor, func() { relays[slowNode].slow.Store(0) })
 		p.note("one of four nodes runs slower for %v: each job takes %v more", slowFor, slowBy)
 	}
-	time.Sleep(time.Until(started.Add(sweepEvery + 600*time.Millisecond)))
+	time.Sleep(time.Until(started.Add(sweepEvery + 1500*time.Millisecond)))
 	p.note("the menus are moved to /orders/archive")
 	var moving sync.WaitGroup
 	moved := make([]error, menus)
