Withdraw unsent attempts before a request's final answer

Cause: Loop.finish and finishAll delivered the final answer and left attempts that waited for a connection, or were dialing, at the node client, which sent them later. Nothing but the scheduler's cancellation stopped them, and there is none at a stop or where the settings do not allow it.

Change: node.Attempt.Withdraw ends what is not sent in full and says whether the node got anything. Loop.finish withdraws before it delivers; at a stop, a request of which nothing was sent is rejected (503) in place of failed (502).

--- a/internal/adapter/fixtures_test.go
+++ b/internal/adapter/fixtures_test.go
@@ -93,6 +93,8 @@
 	a.cancelled = true
 }
 
+func (*fakeAttempt) Withdraw() bool { return false }
+
 func (n *fakeNodes) Retain(map[string]bool)        {}
 func (n *fakeNodes) AbortQueued(func(string) bool) {}
 func (n *fakeNodes) LateReplies() int64            { return 0 }
--- a/internal/backend/node/client_test.go
+++ b/internal/backend/node/client_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -237,3 +238,25 @@
 		t.Errorf("the object after a restart: %+v, want data \"\\x00\\x00zz\"", object)
 	}
 }
+
+// TestWithdrawnCallIsNotSent guards against calls that reach a node after their request's final answer: a call that
+// waits for its connection can be withdrawn, one that was sent cannot.
+func TestWithdrawnCallIsNotSent(t *testing.T) {
+	c, n := newClient(t), startBusyNode(t)
+	setFault(t, n, "hang")
+	sent, _ := send(c, n.Addr(), writeOneByte)
+	awaitDelivery(c, n.Addr())
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // never greets, so calls wait
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	waiting, done := send(c, silent.Addr().String(), writeOneByte)
+	if !waiting.Withdraw() || sent.Withdraw() {
+		t.Error("Withdraw: want true for the call that waits for its connection, false for the one that was sent")
+	}
+	c.Close()
+	if len(done) != 0 {
+		t.Error("a withdrawn call has a reply, want none")
+	}
+}
--- a/internal/backend/webnode/exchange.go
+++ b/internal/backend/webnode/exchange.go
@@ -21,7 +21,7 @@
 // maxUnitsElsewhere is an exclusive limit on the units that a node may report as served through other gateways.
 const maxUnitsElsewhere = 1e12
 
-// write sends an attempt, unless its deadline passed while it waited for the connection.
+// write sends an attempt, unless it was ended or its deadline passed while it waited for the connection.
 func (c *conn) write(attempt *Attempt) {
 	call := attempt.call
 	elapsed := time.Since(attempt.startedAt)
@@ -32,8 +32,11 @@
 		return
 	}
 	request := c.client.encodeRequest(call, remaining)
-	n, err := c.raw.Write(request)
 	defer close(c.written)
+	if !attempt.begin() {
+		return
+	}
+	n, err := c.raw.Write(request)
 	c.client.mu.Lock()
 	closed := c.state == stateClosed
 	switch {
--- a/internal/backend/webnode/order_test.go
+++ b/internal/backend/webnode/order_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,3 +225,62 @@
 		t.Error("a cancelled attempt has an outcome, want none")
 	}
 }
+
+// TestWithdrawnAttemptIsNotSent guards against requests that reach a node after their final answer. An attempt that
+// waits for a connection, that is dialing, or whose request is written in part never arrives; one that was sent goes on.
+func TestWithdrawnAttemptIsNotSent(t *testing.T) {
+	n, c := newScriptedNode(t), newClient(t, 1, nil)
+	sent, sentDone := startGet(c, n, node.Call{IdempotencyKey: "sent", Timeout: time.Minute})
+	conn := n.accept()
+	conn.readRequest()
+	waiting, waitingDone := startGet(c, n, node.Call{IdempotencyKey: "waiting", Timeout: time.Minute})
+	if !waiting.Withdraw() || sent.Withdraw() {
+		t.Error("Withdraw: want true for the attempt that waits for a connection, false for the one that was sent")
+	}
+	conn.respond("data")
+	expectData(t, sentDone, "data")
+	conn.respond("nobody waits for this") // makes the client close the connection
+	for open := 1; open > 0; open, _ = c.ConnectionCounts() {
+		time.Sleep(time.Millisecond)
+	}
+	dialed, proceed := make(chan bool), make(chan bool)
+	webnode.SetDial(c, func(_ context.Context, network, addr string) (net.Conn, error) {
+		conn, err := net.Dial(network, addr)
+		dialed <- true
+		<-proceed
+		return conn, err
+	})
+	dialing, dialingDone := startGet(c, n, node.Call{IdempotencyKey: "dialing", Timeout: time.Minute})
+	<-dialed
+	if !dialing.Withdraw() {
+		t.Error("Withdraw: want true while dialing")
+	}
+	proceed <- true
+	if n.accept().readRequest() != nil {
+		t.Error("an attempt that was withdrawn while its connection was opened has been sent")
+	}
+	if len(waitingDone)+len(dialingDone) > 0 {
+		t.Error("a withdrawn attempt has an outcome, want none")
+	}
+}
+
+// TestWithdrawCutsOffPartialWrite: a node that has part of a request never gets the rest after the request's final
+// answer, and the attempt is known not to have run.
+func TestWithdrawCutsOffPartialWrite(t *testing.T) {
+	n, c := newScriptedNode(t), newClient(t, 1, nil)
+	writing, done := startGet(c, n, node.Call{IdempotencyKey: "a", Timeout: time.Minute, Op: node.PutObject,
+		Headers: []string{"x-long", strings.Repeat("x", 64<<20)}}) // more than the sockets buffer
+	conn := n.accept()
+	if _, err := conn.in.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	if writing.Withdraw() {
+		t.Error("Withdraw: want false for an attempt of which the node has a part")
+	}
+	expectConnectFailed(t, done, "an attempt that was cut off")
+	if _, err := io.Copy(io.Discard, conn.in); err == nil {
+		return // the connection has ended
+	} else if !errors.Is(err, syscall.ECONNRESET) {
+		t.Error(err)
+	}
+}
--- a/internal/front/fake_nodes_test.go
+++ b/internal/front/fake_nodes_test.go
@@ -27,6 +27,9 @@
 
 func (completedAttempt) Cancel() {}
 
+// Withdraw implements node.Attempt.
+func (completedAttempt) Withdraw() bool { return false }
+
 // AbortQueued does nothing, as calls are never queued.
 func (*fakeNodes) AbortQueued(func(string) bool) {}
 
--- a/internal/frontend/web/testbed_test.go
+++ b/internal/frontend/web/testbed_test.go
@@ -106,6 +106,8 @@
 
 func (a *fakeAttempt) Cancel() { close(a.cancelled) }
 
+func (*fakeAttempt) Withdraw() bool { return false }
+
 // testbed is a server with a loop and fake nodes.
 type testbed struct {
 	*web.Server
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,9 @@
 // Cancel implements node.Attempt.
 func (unsentAttempt) Cancel() {}
 
+// Withdraw implements node.Attempt.
+func (unsentAttempt) Withdraw() bool { return true }
+
 // outcomes maps the outcomes of the node clients to the scheduler's. A node that executed an operation has served the
 // request, whatever the status of the operation.
 var outcomes = [...]scheduler.Outcome{
@@ -109,6 +112,20 @@
 	})
 }
 
+// withdrawUnsent ends the attempts of a request that have not been sent, for example because their connection is still
+// being opened. Nothing may be sent for a request after its final answer.
+func (l *Loop) withdrawUnsent(r *request) {
+	for _, a := range r.attempts {
+		if !a.inFlight() || !a.nodeAttempt.Withdraw() {
+			continue
+		}
+		a.neverRan = true
+		l.followUps = append(l.followUps, func(now scheduler.Time) {
+			l.attemptEnded(now, a, scheduler.OutcomeCancelled, node.Reply{})
+		})
+	}
+}
+
 // attemptOf returns the loop's record of an attempt, or nil if the loop no longer tracks its request.
 func (l *Loop) attemptOf(scheduled *scheduler.Attempt) *attempt {
 	if r := l.requests[scheduled.Request]; r != nil && scheduled.Number < len(r.attempts) {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -244,6 +244,7 @@
 		e(l.opt.Clock.Now())
 	}
 	for _, r := range l.requests {
+		l.withdrawUnsent(r) // before the state is chosen: a request of which nothing was sent is rejected
 		l.finish(r, Result{State: r.stateAtStop(), Reason: "the gateway ends"})
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -132,12 +132,14 @@
 	return origin + "#" + strconv.FormatInt(l.submittedCount, 10)
 }
 
-// finish delivers the final answer of a request. It does nothing if the request is finished already.
+// finish withdraws the unsent attempts of a request and then delivers its final answer. It does nothing if the request
+// is finished already.
 func (l *Loop) finish(r *request, result Result) {
 	if r.finished {
 		return
 	}
 	r.finished = true
+	l.withdrawUnsent(r)
 	l.stats.forClass(r.spec.Class).add(result.State)
 	if r.session != nil {
 		delete(r.session.requests, r)
--- a/internal/scale/nodeclient.go
+++ b/internal/scale/nodeclient.go
@@ -26,6 +26,9 @@
 // Cancel does nothing, as the attempt has ended.
 func (completedAttempt) Cancel() {}
 
+// Withdraw implements node.Attempt.
+func (completedAttempt) Withdraw() bool { return false }
+
 // Start records the address of a key's first attempt and answers the attempt on another goroutine.
 func (c *fakeNodeClient) Start(addr string, call *node.Call, done func(node.Reply)) node.Attempt {
 	c.placements.LoadOrStore(call.IdempotencyKey, addr)
