Scheduler: keep state of idle volumes and flows for a limited number of them

Cause: Scheduler.volumes and each node's Flows and flowsByVolume kept every volume ever named, and each dispatch walks the flows of its node. With a retry budget, recentArrivals was trimmed only when a retry was considered.

Arrivals are trimmed as they are added. No field is added: captures keep their form.

--- a/scheduler/fair_queuing.go
+++ b/scheduler/fair_queuing.go
@@ -5,20 +5,14 @@
 	"slices"
 )
 
-// flow returns the flow of a volume at a node and creates it on first use.
-func (s *Scheduler) flow(node *Node, volume *Volume) *Flow {
-	flow := node.flowsByVolume[volume]
-	if flow == nil {
-		flow = &Flow{
-			Volume:       volume,
-			VirtualStart: node.VirtualTime,
-			Budget:       s.defaultBudget(),
-			Excess:       TokenBucket{Level: math.Inf(1), Capacity: math.Inf(1)},
-		}
-		node.flowsByVolume[volume] = flow
-		node.Flows = append(node.Flows, flow)
+// newFlow returns a flow of a volume at a node that has not been used yet.
+func (s *Scheduler) newFlow(node *Node, volume *Volume) *Flow {
+	return &Flow{
+		Volume:       volume,
+		VirtualStart: node.VirtualTime,
+		Budget:       s.defaultBudget(),
+		Excess:       TokenBucket{Level: math.Inf(1), Capacity: math.Inf(1)},
 	}
-	return flow
 }
 
 // defaultBudget returns the budget of a turn, in units.
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -16,6 +16,7 @@
 	request.setObjectiveDeadline(remaining)
 	s.requests[request.ID] = request
 	if s.hasRetryBudget() {
+		s.trimRetryWindow()
 		s.recentArrivals = append(s.recentArrivals, now)
 	}
 	if request.Class.Ordered && keyed {
@@ -63,27 +64,6 @@
 	request.KeyQueue = queue
 }
 
-// volume returns the volume with the given ID and creates it on first use. This gateway's part of its rate limit is
-// an even split over the highest gateway count seen. The bucket counts as empty at the gateway's start, because a
-// gateway that was killed does not know what it had sent before.
-func (s *Scheduler) volume(id int64, level string, gatewayCount float64) *Volume {
-	volume := s.volumes[id]
-	if volume == nil {
-		volume = s.newVolume(level)
-		s.volumes[id] = volume
-	}
-	gatewayCount = max(gatewayCount, 1)
-	if gatewayCount > volume.GatewayCount {
-		volume.GatewayCount = gatewayCount
-		limit := &volume.RateLimit
-		limit.Rate = volume.ServiceLevel.RateLimit / gatewayCount
-		limit.Capacity = volume.ServiceLevel.Burst / gatewayCount
-		limit.Level = min(limit.Level, limit.Capacity)
-		s.recordServedUnits(volume, 0, 0)
-	}
-	return volume
-}
-
 // newVolume creates a volume of a service level, and the level as well if the settings do not define it.
 func (s *Scheduler) newVolume(levelName string) *Volume {
 	level := s.serviceLevels[levelName]
--- a/scheduler/retries.go
+++ b/scheduler/retries.go
@@ -50,6 +50,14 @@
 	if !s.hasRetryBudget() {
 		return true
 	}
+	s.trimRetryWindow()
+	budget := s.settings.number(settingFreeRetries) +
+		s.settings.number(settingRetryShare)*float64(len(s.recentArrivals))
+	return float64(len(s.recentRetries)+1) <= budget
+}
+
+// trimRetryWindow drops the arrivals and retries that are no longer within the window of the retry budget.
+func (s *Scheduler) trimRetryWindow() {
 	windowStart := s.now - s.settings.duration(settingRetryWindow)
 	for len(s.recentArrivals) > 0 && s.recentArrivals[0] <= windowStart {
 		s.recentArrivals = s.recentArrivals[1:]
@@ -57,9 +65,6 @@
 	for len(s.recentRetries) > 0 && s.recentRetries[0] < windowStart { // a retry at the window's start still counts
 		s.recentRetries = s.recentRetries[1:]
 	}
-	budget := s.settings.number(settingFreeRetries) +
-		s.settings.number(settingRetryShare)*float64(len(s.recentArrivals))
-	return float64(len(s.recentRetries)+1) <= budget
 }
 
 // retryOrGiveUp retries a request after a failed attempt if it can still meet its objective, and gives it up
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -10,6 +10,12 @@
 	maxTurnDuration       = 300 * Millisecond // a turn ends after this time even if budget is left
 )
 
+// State of idle volumes. Sweeps halve it.
+const (
+	maxFlowsPerNode = 256  // flows at a node from which the idle ones are dropped
+	maxVolumes      = 4096 // volumes from which the idle ones are dropped
+)
+
 // Limit of units in flight at a node: what the node answers in a share of the objective.
 const (
 	inFlightShareInitial  = 0.5
