Web front end: notice that a client has left before its request is sent

Cause: conn.execute submitted a request and only then read on, by which a close is noticed. After a pause the loop could dispatch first, the likelier the more was unread. Retries and hedged requests that fell due in the pause had the same race.

Change: what has arrived is read before the request is submitted, and the loop asks the front end before each attempt whether the client has left (RequestSpec.ClientLeft), which looks past unread bytes. Both reads of the read-ahead share one buffer policy.

--- a/internal/frontend/web/conn.go
+++ b/internal/frontend/web/conn.go
@@ -165,7 +165,11 @@
 	if !c.setState(stateWaiting) {
 		return result, net.ErrClosed
 	}
+	if err := c.ahead.readArrived(); err != nil {
+		return result, err // the client has left already
+	}
 	spec.Deadline = loop.Now() + spec.Deadline
+	spec.ClientLeft = func() bool { return hasClientLeft(c.raw) }
 	spec.OnResult = func() { _ = c.raw.SetReadDeadline(pastDeadline) } // interrupts the read-ahead below
 	done := loop.Submit(c.session, spec)
 	if err := c.ahead.readUntilDeadline(); err != nil {
--- a/internal/frontend/web/export_test.go
+++ b/internal/frontend/web/export_test.go
@@ -8,6 +8,9 @@
 // HasUnreadBytes reports whether a connection's socket has unread bytes.
 var HasUnreadBytes = hasUnreadBytes
 
+// HasClientLeft reports whether the client has closed the connection.
+var HasClientLeft = hasClientLeft
+
 // EvictOne gives these connections to a server, the first one idle for longest, and has it evict one. It returns the
 // index of the evicted connection, or -1 if there is none.
 func EvictOne(raws ...net.Conn) int {
--- a/internal/frontend/web/linger.go
+++ b/internal/frontend/web/linger.go
@@ -2,8 +2,6 @@
 
 import (
 	"io"
-	"net"
-	"syscall"
 	"time"
 )
 
@@ -30,22 +28,3 @@
 
 // onlyReader hides the other methods of a connection, so that io.Copy does not use splice.
 type onlyReader struct{ io.Reader }
-
-// hasUnreadBytes reports whether the connection's socket has unread bytes from the client. Such a connection is not
-// idle: its request has arrived but has not been read yet.
-func hasUnreadBytes(raw net.Conn) bool {
-	socket, ok := raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	err = rawConn.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-	})
-	return unread && err == nil
-}
--- a/internal/frontend/web/readahead.go
+++ b/internal/frontend/web/readahead.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -45,18 +46,38 @@
 // discardBuffers holds buffers for data that is read and discarded.
 var discardBuffers = sync.Pool{New: func() any { return new([discardReadBytes]byte) }}
 
+// maxBytesAtOnce limits what readArrived reads from a client that sends faster than it can be read.
+const maxBytesAtOnce = 8 << 20
+
+// readArrived reads what has arrived by now. It returns an error if the client has closed the connection, and nil if
+// nothing is left to read.
+func (a *readAhead) readArrived() error {
+	reader := aheadReader{readAhead: a}
+	defer reader.release()
+	for total := 0; total < maxBytesAtOnce; {
+		buf := reader.buffer()
+		n, err := readWithoutWaiting(a.raw, buf)
+		if errors.Is(err, errNothingToRead) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		reader.keep(buf[:n])
+		total += n
+	}
+	return nil
+}
+
 // readUntilDeadline reads until the connection's read deadline passes, and then returns nil. If reading fails for
 // another reason, such as the client closing the connection, it returns that error.
 func (a *readAhead) readUntilDeadline() error {
-	var first [firstReadBytes]byte
-	for buf := first[:]; ; {
+	reader := aheadReader{readAhead: a}
+	defer reader.release()
+	for {
+		buf := reader.buffer()
 		n, err := a.raw.Read(buf)
-		if n > 0 && !a.truncated && !a.appendBuffered(buf[:n]) {
-			a.truncated = true
-			large := discardBuffers.Get().(*[discardReadBytes]byte)
-			defer discardBuffers.Put(large)
-			buf = large[:]
-		}
+		reader.keep(buf[:n])
 		if isTimeout(err) {
 			return nil
 		}
@@ -66,6 +87,37 @@
 	}
 }
 
+// aheadReader provides the buffers for one use of a readAhead: a small one at first, and a large one once data is
+// discarded.
+type aheadReader struct {
+	*readAhead
+	small [firstReadBytes]byte
+	large *[discardReadBytes]byte
+}
+
+func (r *aheadReader) buffer() []byte {
+	if !r.truncated {
+		return r.small[:]
+	}
+	if r.large == nil {
+		r.large = discardBuffers.Get().(*[discardReadBytes]byte)
+	}
+	return r.large[:]
+}
+
+// keep buffers the bytes, or discards them and all that follow if there is no room.
+func (r *aheadReader) keep(bytes []byte) {
+	if len(bytes) > 0 && !r.truncated && !r.appendBuffered(bytes) {
+		r.truncated = true
+	}
+}
+
+func (r *aheadReader) release() {
+	if r.large != nil {
+		discardBuffers.Put(r.large)
+	}
+}
+
 // appendBuffered buffers the bytes. It returns false if that would exceed the limit or the server's memory for bodies.
 func (a *readAhead) appendBuffered(bytes []byte) bool {
 	if int64(len(a.buffered)+len(bytes)) > a.limit || !a.reserve(int64(len(bytes))) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,6 +55,10 @@
 		l.failExpired(a)
 		return
 	}
+	if r.spec.ClientLeft != nil && r.spec.ClientLeft() {
+		l.dropUnsent(a)
+		return
+	}
 	a.nodeAttempt = l.opt.Nodes.Start(scheduled.Node.Addr, call, func(reply node.Reply) {
 		l.post(func(now scheduler.Time) { l.attemptEnded(now, a, outcomes[reply.Outcome], reply) })
 	})
@@ -100,6 +104,16 @@
 	})
 }
 
+// dropUnsent ends an attempt that is not sent, because the client of its request has left without the front end having
+// noticed yet, for example while the process was paused.
+func (l *Loop) dropUnsent(a *attempt) {
+	a.nodeAttempt = unsentAttempt{}
+	l.followUps = append(l.followUps, func(now scheduler.Time) {
+		l.cancelRequest(now, a.request)
+		l.attemptEnded(now, a, scheduler.OutcomeCancelled, node.Reply{})
+	})
+}
+
 // cancel cancels an attempt. Its outcome is reported to the scheduler in the same turn.
 func (l *Loop) cancel(scheduled *scheduler.Attempt) {
 	a := l.attemptOf(scheduled)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -27,6 +27,7 @@
 	HasKey        bool
 	Deadline      scheduler.Time // until which the client waits
 	OnResult      func()         // optional; runs before the result can be received, usually on the loop; must not block
+	ClientLeft    func() bool    // optional; whether the client has closed the connection; must not block
 	ClientRequest uint32         // number of the client's request that this one is part of
 	Idempotency   uint8          // as in node.Call
 	Call          node.Call      // operation at the node; the loop sets the sender, the IDs and the remaining time
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -23,8 +23,16 @@
 		}
 		sortRequests(cancelled)
 		for _, r := range cancelled {
-			l.scheduler.clientCancelled(now, r.scheduled)
-			l.finish(r, Result{State: scheduler.RequestClientCancelled})
+			l.cancelRequest(now, r)
 		}
 	})
 }
+
+// cancelRequest ends a request whose client has left.
+func (l *Loop) cancelRequest(now scheduler.Time, r *request) {
+	if r.finished {
+		return
+	}
+	l.scheduler.clientCancelled(now, r.scheduled)
+	l.finish(r, Result{State: scheduler.RequestClientCancelled})
+}
--- a/internal/gateway/unsent_test.go
+++ b/internal/gateway/unsent_test.go
@@ -103,3 +103,24 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestNothingIsSentForClientThatHasLeft guards against attempts that begin after their client has closed its connection
+// and before the front end has read that, as after a pause of the process.
+func TestNothingIsSentForClientThatHasLeft(t *testing.T) {
+	nodes := newWaitingNodes()
+	l := Start(Options{Name: "g", Seed: 1, QueueSize: 4, Clock: NewClock(), Nodes: nodes,
+		Log:        slog.New(slog.NewTextHandler(io.Discard, nil)),
+		CachedList: &endpoint.List{Nodes: []endpoint.Node{{Addr: "10.0.0.1:5"}}}})
+	t.Cleanup(l.Stop)
+	result := l.Submit(NewSession("g/1"), &RequestSpec{
+		Volume: &Volume{ID: 1, ServiceLevel: "basic", GatewayCount: 1}, Class: "read", Units: 1,
+		Deadline: l.Now() + int64(time.Hour), Call: node.Call{Op: node.GetObject, Name: "a"},
+		ClientLeft: func() bool { return true },
+	})
+	if got := <-result; got.State != scheduler.RequestClientCancelled {
+		t.Errorf("result %v, want that the client has left", got)
+	}
+	if stats, _ := l.Stats(); len(nodes.started) > 0 || stats.Attempts > 0 || stats.InFlight > 0 {
+		t.Errorf("%d attempts were sent; %+v", len(nodes.started), stats)
+	}
+}
