Web front end: an ID that may have run does not run again after its client has left

Cause: the front end knew an ID only while its request was open; a client that left freed it, though a storage node may have begun the request.

Change: scheduler.RepeatGuard (a policy file) remembers the latest 32,768 to 65,536 IDs of requests that may have run and whose class is not idempotent; such an ID is answered 409. Every gateway.Result tells whether the request may have run, also of a client that left.

Idempotent classes run again as before.

--- a/internal/frontend/web/conn.go
+++ b/internal/frontend/web/conn.go
@@ -105,6 +105,9 @@
 		return true, err
 	}
 	result, err := c.execute(spec)
+	if result.MayHaveRun {
+		s.recordRun(id, spec.Class)
+	}
 	if err != nil {
 		return true, err
 	}
@@ -158,7 +161,7 @@
 }
 
 // execute submits the request to the loop and waits for its result or for the client to close the connection. After an
-// error, no response can be sent any more.
+// error, no response can be sent any more; the result still tells whether the request may have run.
 func (c *conn) execute(spec *gateway.RequestSpec) (result gateway.Result, err error) {
 	loop := c.server.opt.Loop
 	_ = c.raw.SetReadDeadline(time.Time{})
@@ -174,8 +177,7 @@
 	done := loop.Submit(c.session, spec)
 	if err := c.ahead.readUntilDeadline(); err != nil {
 		loop.CloseSession(c.session)
-		<-done
-		return result, err
+		return <-done, err
 	}
 	result = <-done
 	if result.State == scheduler.RequestClientCancelled || !c.setState(stateWriting) {
--- a/internal/frontend/web/server.go
+++ b/internal/frontend/web/server.go
@@ -64,11 +64,12 @@
 	closing        int             // connections in stateClosing
 	lingering      []*conn         // connections in stateLingering, oldest first
 	openIDs        map[string]bool // IDs of requests that have not been answered yet
-	bodyBytes      int64           // reserved for bodies and read-ahead
-	connCount      int64           // connections accepted since the start, rejected ones included
-	rejected       int             // connections rejected since the start
-	evicted        int             // connections evicted since the start
-	loggedShortage bool            // whether the last logged change was the start of a shortage
+	repeats        *scheduler.RepeatGuard
+	bodyBytes      int64 // reserved for bodies and read-ahead
+	connCount      int64 // connections accepted since the start, rejected ones included
+	rejected       int   // connections rejected since the start
+	evicted        int   // connections evicted since the start
+	loggedShortage bool  // whether the last logged change was the start of a shortage
 }
 
 // Start starts a server that listens at the address.
@@ -89,6 +90,7 @@
 		drained:    make(chan struct{}),
 		conns:      map[*conn]bool{},
 		openIDs:    map[string]bool{},
+		repeats:    scheduler.NewRepeatGuard(opt.Settings),
 	}
 	go s.acceptLoop()
 	go s.evictLoop()
@@ -171,14 +173,17 @@
 	return c
 }
 
-// beginRequest registers a request. It rejects the request if one with the same ID is open or if there is not enough
-// memory for its body.
+// beginRequest registers a request. It rejects the request if one with the same ID is open or must not run again, or if
+// there is not enough memory for its body.
 func (s *Server) beginRequest(id string, bodyBytes int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.openIDs[id] {
 		return &http1.Error{Status: http.StatusConflict, Reason: "a request of this id is open"}
 	}
+	if !s.repeats.MayRun(id) {
+		return &http1.Error{Status: http.StatusConflict, Reason: "a request of this id may have run"}
+	}
 	if s.bodyBytes+bodyBytes > s.opt.Limits.MaxBodyBytes {
 		return &http1.Error{Status: http.StatusServiceUnavailable, Reason: "too many bytes are held"}
 	}
@@ -187,6 +192,13 @@
 	return nil
 }
 
+// recordRun records that a request may have run. It is called while the request is registered.
+func (s *Server) recordRun(id, class string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeats.RecordRun(id, class)
+}
+
 // endRequest undoes beginRequest.
 func (s *Server) endRequest(id string, bodyBytes int64) {
 	s.mu.Lock()
--- a/internal/frontend/web/testbed_test.go
+++ b/internal/frontend/web/testbed_test.go
@@ -24,7 +24,8 @@
 	"limits":{"cores":1,"memory_mb":64,"sockets":256},
 	"settings":{"contracts":[{"name":"gold","proportion":1.0,"base_rate":1000.0,"floor_rate":1000.0}],
 	"domain":{"unit_mean":2.0,"largest":8},
-	"lanes":[{"name":"read","effect":"read_like","target_ms":60000.0,"hard_limit_ms":120000.0}],
+	"lanes":[{"name":"read","effect":"read_like","target_ms":60000.0,"hard_limit_ms":120000.0},
+		{"name":"write-once","effect":"non_idempotent","target_ms":60000.0,"hard_limit_ms":120000.0}],
 	"permissions":{"attempts_cap":3,"second_copies":true,"cancelling":true,"retry_after":true,"max_retry_after_ms":1000.0,
 	"dial_timeout_ms":250.0,"idle_close_ms":30000.0}}}`
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -208,7 +208,6 @@
 				State:      scheduled.State,
 				RetryAfter: time.Duration(scheduled.RetryAfter),
 				Reason:     r.reason,
-				MayHaveRun: r.mayHaveRun(),
 			})
 		}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,7 +39,7 @@
 	RetryAfter time.Duration          // of a rejected request: how long to wait before a retry; 0: unspecified
 	Reply      node.Reply             // of a request that succeeded
 	Reason     string                 // of a request that did not succeed: why its last attempt failed
-	MayHaveRun bool                   // if the scheduler rejected or failed the request: an attempt may have run
+	MayHaveRun bool                   // an attempt has run, or may have run or may still run
 }
 
 // String describes the result in human-readable form.
@@ -133,7 +133,7 @@
 	return origin + "#" + strconv.FormatInt(l.submittedCount, 10)
 }
 
-// finish withdraws the unsent attempts of a request and then delivers its final answer. It does nothing if the request
+// finish withdraws the unsent attempts of a request, completes the result and delivers it as the final answer. It does nothing if the request
 // is finished already.
 func (l *Loop) finish(r *request, result Result) {
 	if r.finished {
@@ -141,6 +141,7 @@
 	}
 	r.finished = true
 	l.withdrawUnsent(r)
+	result.MayHaveRun = r.mayHaveRun()
 	l.stats.forClass(r.spec.Class).add(result.State)
 	if r.session != nil {
 		delete(r.session.requests, r)
--- a/scheduler/policy_source.go
+++ b/scheduler/policy_source.go
@@ -9,7 +9,7 @@
 // deploy/balancer.toml.
 //
 //go:embed admission.go apply_settings.go capacity.go dispatch.go endpoint_list.go fair_queuing.go idle_state.go
-//go:embed outliers.go placement.go requests.go retries.go scheduler.go slow_start.go tuning.go
+//go:embed outliers.go placement.go repeats.go requests.go retries.go scheduler.go slow_start.go tuning.go
 var policyFiles embed.FS
 
 // PolicySource is the source text of the policy files, in order of file name. A capture records its digest, which
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -10,6 +10,9 @@
 	maxTurnDuration       = 300 * Millisecond // a turn ends after this time even if budget is left
 )
 
+// repeatGuardIDs is the number of IDs that a RepeatGuard remembers at least. It holds up to twice as many.
+const repeatGuardIDs = 32768
+
 // State of idle volumes. Sweeps halve it.
 const (
 	maxFlowsPerNode = 256  // flows at a node from which the idle ones are dropped
