Scheduler: clients that leave at once do not shorten the objective of others

Callers saw: while eight clients sent requests and closed their connections within a millisecond, a quarter of the requests of other clients of the level were rejected at once, some also for seconds afterwards.

Cause: recordClientLeft took them for clients that leave early and learned that clients of the level leave at 0.00 of the objective (logged so), by which nothing can be answered.

Change: a client that leaves within an eighth of the objective is not counted.

TestEarlyCancellationsShortenTheObjective fails without the change.

--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -200,11 +200,15 @@
 	s.cancelOtherAttempts(request, nil)
 }
 
-// recordClientLeft counts a client that left before the end of the objective and records how long it waited.
+// recordClientLeft counts a client that left before the end of the objective and records how long it waited. One that
+// left at once did not wait for an answer, and tells nothing about those that do.
 func (s *Scheduler) recordClientLeft(request *Request) {
 	level := request.Volume.ServiceLevel
-	s.recordEarlyCancel(level, 1)
 	after := float64(s.now-request.ReceivedAt) / float64(max(request.Class.LatencyObjective, 1))
+	if after < earlyCancelMin {
+		return
+	}
+	s.recordEarlyCancel(level, 1)
 	if level.EarlyCancelAfter == 0 {
 		level.EarlyCancelAfter = after
 	}
--- a/scheduler/requests_test.go
+++ b/scheduler/requests_test.go
@@ -23,13 +23,14 @@
 }
 
 // If clients leave before the objective, a request is given up once it can only be answered after they usually leave.
-// This must not happen if clients leave at arbitrary times while others that wait as long are served.
+// This must not happen if clients leave at arbitrary times while others that wait as long are served, or if they leave at
+// once: one client that sent requests and left without waiting had those of others given up at once.
 func TestEarlyCancellationsShortenTheObjective(t *testing.T) {
 	for _, c := range []struct {
 		after   Time // milliseconds after which a client leaves
 		every   int  // one in this many clients leaves
 		givenUp bool
-	}{{50, 100, false}, {50, 1, true}, {1, 5, false}} {
+	}{{50, 100, false}, {50, 1, true}, {1, 5, false}, {1, 1, false}} {
 		h := newHarness(1, testSettings("plans.0.limit=0"))
 		h.listNode("a0", 0, 0, EndpointReady)
 		for i := range 60 {
--- a/scheduler/tuning.go
+++ b/scheduler/tuning.go
@@ -81,6 +81,7 @@
 // Early cancellation: clients that leave before the latency objective.
 const (
 	earlyCancelWeight    = 1.0 / 64 // weight of the latest client in the moving averages of early cancellation
+	earlyCancelMin       = 0.125    // a client that leaves sooner has not waited, in objectives
 	earlyCancelThreshold = 0.25     // above this share, requests have to be answered before clients usually leave
 )
 
