--- a/cmd/irispost/limited_gateway_test.go
+++ b/cmd/irispost/limited_gateway_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,7 +8,6 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -19,7 +17,6 @@
 	"golang.org/x/sys/unix"
 
 	"irispost/internal/endpoint/discovery"
-	"irispost/internal/testkit/testaddr"
 	"irispost/internal/webstandin"
 )
 
@@ -55,7 +52,7 @@
 
 const limitedGatewayNodes = 3
 
-// startLimitedGateway starts a gateway and waits until it is ready. IRISPOST_TEST_PROGRAM may name another build.
+// startLimitedGateway starts a gateway and waits until it is ready.
 func startLimitedGateway(t testing.TB) *limitedGateway {
 	t.Helper()
 	g := &limitedGateway{}
@@ -95,36 +92,11 @@
 
 func startLimitedProcess(t testing.TB, discoveryAddr string) *webProcess {
 	t.Helper()
-	w := &webProcess{t: t, file: filepath.Join(t.TempDir(), "proxy.json"), addr: testaddr.Reserve(t),
-		over: make(chan error, 1)}
+	w := newWebProcess(t)
 	w.write(fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1",
 		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"settings":%s}`,
 		w.addr, discoveryAddr, limitMemoryMB, limitSockets, limitedSettings))
-	program, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if other := os.Getenv("IRISPOST_TEST_PROGRAM"); other != "" {
-		program = other
-	}
-	w.Cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" web`, limitSockets), program)
-	w.Env = append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+w.file)
-	log, err := w.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := startOnOneCore(w.Cmd); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		for lines := bufio.NewScanner(log); lines.Scan(); {
-			w.lock.Lock()
-			w.logLines = append(w.logLines, lines.Text())
-			w.lock.Unlock()
-		}
-		w.over <- w.Wait()
-	}()
-	t.Cleanup(func() { _ = w.Process.Kill() })
+	w.start(limitSockets, startOnOneCore)
 	return w
 }
 
@@ -207,13 +179,3 @@
 		g.t.Errorf("the gateway used up to %.0f MB, the limit is %d", u.peakMB, limitMemoryMB)
 	}
 }
-
-// received returns how many times the nodes received a request in full.
-func (g *limitedGateway) received(id string) (times int) {
-	for _, n := range g.nodes {
-		n.Lock()
-		times += n.ReceivedCounts[id]
-		n.Unlock()
-	}
-	return times
-}
--- a/cmd/irispost/sound_clients_test.go
+++ b/cmd/irispost/sound_clients_test.go
@@ -186,6 +186,7 @@
 	if err != nil {
 		return 0, "", true, err
 	}
+	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return 0, "", true, err
--- a/cmd/irispost/web_test.go
+++ b/cmd/irispost/web_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -43,21 +44,35 @@
 
 // startWeb starts a gateway process with a limit of 128 file descriptors. It returns before the gateway is listening.
 func startWeb(t testing.TB, list, more string, env ...string) *webProcess {
-	file := filepath.Join(t.TempDir(), "proxy.json")
-	w := &webProcess{t: t, file: file, addr: testaddr.Reserve(t), over: make(chan error, 1)}
+	w := newWebProcess(t)
 	w.write(webConfig(w.addr, list, more))
-	self, err := os.Executable()
+	w.start(128, (*exec.Cmd).Start, env...)
+	return w
+}
+
+// newWebProcess returns a process that has an address and a configuration file, which the caller writes.
+func newWebProcess(t testing.TB) *webProcess {
+	file := filepath.Join(t.TempDir(), "proxy.json")
+	return &webProcess{t: t, file: file, addr: testaddr.Reserve(t), over: make(chan error, 1)}
+}
+
+// start starts the process by startCommand, with a limit on its file descriptors. IRISPOST_TEST_PROGRAM may name
+// another build of the program.
+func (w *webProcess) start(descriptors int, startCommand func(*exec.Cmd) error, env ...string) {
+	w.t.Helper()
+	program, err := os.Executable()
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	w.Cmd = exec.Command("/bin/sh", "-c", `ulimit -n 128; exec "$0" web`, self)
+	program = cmp.Or(os.Getenv("IRISPOST_TEST_PROGRAM"), program)
+	w.Cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" web`, descriptors), program)
 	w.Env = append(append(os.Environ(), "IRISPOST_TEST_AS_PROGRAM=1", "PROXY_CONFIG="+w.file), env...)
 	log, err := w.StderrPipe()
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	if err := w.Start(); err != nil {
-		t.Fatal(err)
+	if err := startCommand(w.Cmd); err != nil {
+		w.t.Fatal(err)
 	}
 	go func() {
 		for lines := bufio.NewScanner(log); lines.Scan(); {
@@ -67,8 +82,7 @@
 		}
 		w.over <- w.Wait()
 	}()
-	t.Cleanup(func() { _ = w.Process.Kill() })
-	return w
+	w.t.Cleanup(func() { _ = w.Process.Kill() })
 }
 
 // signal sends a signal, unless the process has exited already.
