Tests: the withdrawal test waits until its request is certainly written

Seen: 1 of 40 repeats failed with "the connection was closed while the request was written". Cause: the node can answer before the client's write has returned, and Withdraw cuts off what may still be in writing, as it has to. The test now waits for the write; its checks are the same.

--- a/internal/backend/webnode/order_test.go
+++ b/internal/backend/webnode/order_test.go
@@ -233,6 +233,9 @@
 	sent, sentDone := startGet(c, n, node.Call{IdempotencyKey: "sent", Timeout: time.Minute})
 	conn := n.accept()
 	conn.readRequest()
+	for webnode.IsWriting(sent) { // the node can have the request before the write has returned
+		time.Sleep(time.Millisecond)
+	}
 	waiting, waitingDone := startGet(c, n, node.Call{IdempotencyKey: "waiting", Timeout: time.Minute})
 	if !waiting.Withdraw() || sent.Withdraw() {
 		t.Error("Withdraw: want true for the attempt that waits for a connection, false for the one that was sent")
