--- a/internal/frontend/web/peek.go
+++ b/internal/frontend/web/peek.go
@@ -33,6 +33,7 @@
 	return n, err
 }
 
+// receive calls recvfrom. It returns errNothingToRead if no bytes have arrived, and io.EOF at the end of the connection.
 func receive(fd int, buffer []byte, flags int) (n int, err error) {
 	n, _, err = syscall.Recvfrom(fd, buffer, flags)
 	switch {
--- a/internal/frontend/web/readahead.go
+++ b/internal/frontend/web/readahead.go
@@ -95,6 +95,7 @@
 	large *[discardReadBytes]byte
 }
 
+// buffer returns the buffer for the next read.
 func (r *aheadReader) buffer() []byte {
 	if !r.truncated {
 		return r.small[:]
@@ -112,6 +113,7 @@
 	}
 }
 
+// release returns the large buffer to the pool.
 func (r *aheadReader) release() {
 	if r.large != nil {
 		discardBuffers.Put(r.large)
--- a/internal/frontend/web/server.go
+++ b/internal/frontend/web/server.go
@@ -61,15 +61,15 @@
 	mu             sync.Mutex // guards all fields below, and each connection's state
 	phase          phase
 	conns          map[*conn]bool
-	closing        int             // connections in stateClosing
-	lingering      []*conn         // connections in stateLingering, oldest first
-	openIDs        map[string]bool // IDs of requests that have not been answered yet
-	repeats        *scheduler.RepeatGuard
-	bodyBytes      int64 // reserved for bodies and read-ahead
-	connCount      int64 // connections accepted since the start, rejected ones included
-	rejected       int   // connections rejected since the start
-	evicted        int   // connections evicted since the start
-	loggedShortage bool  // whether the last logged change was the start of a shortage
+	closing        int                    // connections in stateClosing
+	lingering      []*conn                // connections in stateLingering, oldest first
+	openIDs        map[string]bool        // IDs of requests that have not been answered yet
+	repeats        *scheduler.RepeatGuard // keeps IDs that may have run from running again
+	bodyBytes      int64                  // reserved for bodies and read-ahead
+	connCount      int64                  // connections accepted since the start, rejected ones included
+	rejected       int                    // connections rejected since the start
+	evicted        int                    // connections evicted since the start
+	loggedShortage bool                   // whether the last logged change was the start of a shortage
 }
 
 // Start starts a server that listens at the address.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -133,8 +133,8 @@
 	return origin + "#" + strconv.FormatInt(l.submittedCount, 10)
 }
 
-// finish withdraws the unsent attempts of a request, completes the result and delivers it as the final answer. It does nothing if the request
-// is finished already.
+// finish withdraws the unsent attempts of a request, sets MayHaveRun in the result and delivers it as the final answer.
+// It does nothing if the request is finished already.
 func (l *Loop) finish(r *request, result Result) {
 	if r.finished {
 		return
